--- /dev/null
+++ b/fescuegw/agent/TaskTable.cpp
@@ -0,0 +1,158 @@
+#include "fescuegw/agent/TaskTable.h"
+
+namespace fescuegw::agent {
+
+namespace {
+
+    TaskId idOf(const wire::TaskKey& key) { return TaskId { { key.team(), key.submission() }, key.index() }; }
+
+    wire::Verdict wireVerdict(Verdict verdict)
+    {
+        switch (verdict) {
+        case Verdict::NotRun:
+            return wire::NOT_RUN;
+        case Verdict::MayHaveRun:
+            return wire::MAY_HAVE_RUN;
+        case Verdict::Ran:
+            return wire::RAN;
+        }
+        return wire::MAY_HAVE_RUN;
+    }
+
+    wire::TaskResult resultFor(const wire::TaskDispatch& task, uint64_t epoch)
+    {
+        wire::TaskResult result;
+        *result.mutable_key() = task.key();
+        result.set_attempt(task.attempt());
+        result.set_epoch(epoch);
+        result.set_durable(task.durable());
+        result.set_cores_milli(task.cores_milli());
+        result.set_memory_mb(task.memory_mb());
+        return result;
+    }
+
+} // namespace
+
+TaskTable::TaskTable(uint64_t incarnation)
+    : m_incarnation(incarnation)
+{
+}
+
+// Returns whether the message is current, and raises the fence to its epoch.
+bool TaskTable::fence(const wire::EntryToAgent& message)
+{
+    if (message.incarnation() != m_incarnation)
+        return false;
+    if (message.service() != m_service) {
+        // Epochs count per service.
+        m_service = message.service();
+        m_epoch = 0;
+    }
+    if (message.epoch() < m_epoch)
+        return false;
+    if (message.epoch() > m_epoch) {
+        m_epoch = message.epoch();
+        m_sequence = 0;
+    }
+    // An overtaken message: its owner has counted its tasks as never started.
+    if (message.sequence() <= m_sequence)
+        return false;
+    m_sequence = message.sequence();
+    return true;
+}
+
+std::string TaskTable::refusalReason(uint64_t clockUs, const wire::TaskDispatch& task, const wire::EntryToAgent& message,
+    const Capacity& capacity, uint32_t foreign) const
+{
+    if (!capacity.serving || capacity.service != message.service())
+        return "the upstream is leaving or absent";
+    if (clockUs > task.start_by_us())
+        return "the latest start has passed";
+    if (m_running + foreign >= capacity.slots)
+        return "no free slot";
+    return "";
+}
+
+Decision TaskTable::decide(uint64_t clockUs, const wire::EntryToAgent& message, const Capacity& capacity, uint32_t foreignRunning)
+{
+    Decision decision;
+    decision.ignored = !fence(message);
+    if (decision.ignored) {
+        // An owner that has been superseded is told; it has no other way to know that these were not started.
+        for (const auto& task : message.dispatches()) {
+            if (message.incarnation() == m_incarnation && message.epoch() < m_epoch && !m_tasks.contains(idOf(task.key()))) {
+                decision.refusals.push_back(resultFor(task, message.epoch()));
+                decision.refusals.back().set_reason("a later owner has taken over");
+            }
+        }
+        return decision;
+    }
+    for (const auto& key : message.releases())
+        std::erase_if(m_tasks, [&key](const auto& it) {
+            return !it.second.running && it.first.submission == SubmissionKey { key.team(), key.submission() };
+        });
+    for (const auto& task : message.dispatches()) {
+        const TaskId id = idOf(task.key());
+        if (m_tasks.contains(id)) {
+            wire::TaskResult doubled = resultFor(task, message.epoch());
+            doubled.set_verdict(wire::MAY_HAVE_RUN);
+            doubled.set_reason("started before on this worker");
+            decision.refusals.push_back(doubled);
+            continue;
+        }
+        const std::string reason = refusalReason(clockUs, task, message, capacity, foreignRunning);
+        if (!reason.empty()) {
+            decision.refusals.push_back(resultFor(task, message.epoch()));
+            decision.refusals.back().set_reason(reason);
+            continue;
+        }
+        m_tasks[id] = Started { resultFor(task, message.epoch()), true };
+        ++m_running;
+        decision.starts.push_back(task);
+    }
+    for (const auto& key : message.cancels()) {
+        const auto it = m_tasks.find(idOf(key));
+        if (it != m_tasks.end() && it->second.running)
+            decision.stops.push_back(it->first);
+    }
+    decision.collect = message.collect();
+    return decision;
+}
+
+wire::TaskResult TaskTable::finish(
+    const TaskId& id, bool succeeded, Verdict verdict, const std::string& reason, std::string output, uint64_t runUs)
+{
+    const auto it = m_tasks.find(id);
+    if (it == m_tasks.end())
+        return {};
+    Started& started = it->second;
+    started.running = false;
+    --m_running;
+    started.result.set_succeeded(succeeded);
+    started.result.set_verdict(wireVerdict(verdict));
+    started.result.set_reason(reason);
+    started.result.set_output(std::move(output));
+    started.result.set_run_us(runUs);
+    wire::TaskResult result = started.result;
+    // A start that provably did not happen may be tried again here; results of repeatable requests are not kept.
+    const bool notRun = !succeeded && verdict == Verdict::NotRun;
+    if (notRun || !result.durable())
+        m_tasks.erase(it);
+    return result;
+}
+
+wire::HeldTasks TaskTable::held() const
+{
+    wire::HeldTasks held;
+    held.set_service(m_service);
+    held.set_epoch(m_epoch);
+    held.set_sequence(m_sequence);
+    for (const auto& it : m_tasks) {
+        wire::TaskResult* task = held.add_tasks();
+        *task = it.second.result;
+        task->set_running(it.second.running);
+    }
+    return held;
+}
+
+} // namespace fescuegw::agent
--- /dev/null
+++ b/fescuegw/base/Types.cpp
@@ -0,0 +1,69 @@
+#include "fescuegw/base/Types.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+#include <random>
+
+#include <xxhash.h>
+
+namespace fescuegw {
+
+namespace {
+
+    constexpr size_t maximumNameLength = 96;
+
+    bool isNameCharacter(char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' || c == '_' || c == '-'; }
+
+} // namespace
+
+TimePoint monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+uint64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+uint64_t toMicros(TimePoint time) { return static_cast<uint64_t>(time.time_since_epoch().count()); }
+
+std::string_view toString(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::NotRun:
+        return "not-run";
+    case Verdict::MayHaveRun:
+        return "may-have-run";
+    case Verdict::Ran:
+        return "ran";
+    }
+    return "may-have-run";
+}
+
+std::string toString(const AgentId& agent) { return agent.name + "/" + std::to_string(agent.incarnation); }
+
+bool isValidName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maximumNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+std::string contentDigest(std::string_view content)
+{
+    const XXH128_hash_t hash = XXH3_128bits(content.data(), content.size());
+    std::array<char, 33> buf {};
+    std::snprintf(buf.data(), buf.size(), "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
+        static_cast<unsigned long long>(hash.low64));
+    return buf.data();
+}
+
+uint64_t randomIdentity()
+{
+    std::random_device device;
+    uint64_t n = 0;
+    while (n == 0)
+        n = (static_cast<uint64_t>(device()) << 32U) | device();
+    return n;
+}
+
+} // namespace fescuegw
--- /dev/null
+++ b/fescuegw/ctl/main.cpp
@@ -0,0 +1,288 @@
+// fescuectl: the operators' tool.
+#include <chrono>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+#include <sys/stat.h>
+
+#include "fescuegw/daemon/Daemon.h"
+#include "fescuegw/http/Client.h"
+#include "fescuegw/net/Hub.h"
+#include "fescuegw/questionnaire/Questionnaire.h"
+#include "fescuegw/settings/Settings.h"
+
+using namespace fescuegw;
+using nlohmann::json;
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr const char* usage = R"(fescuectl COMMAND [ARGUMENT ...] [options]
+
+Commands
+  keygen FILE                 make the key file that all processes of an installation share
+  plan FILE                   show the configuration that a questionnaire means, and what would change
+  apply FILE                  put a questionnaire's configuration in force
+  team NAME                   show a team's configuration in force
+  submit TEAM ID FILE         submit a job (JSON: service, tasks) and wait for its answer
+  get TEAM ID                 read a submission's answer
+  cancel TEAM ID              cancel a submission
+  status                      show replicas, entries, services and agents, and who lags behind
+  replace ADD ADDRESS OLD     replace replica OLD of the state group by ADD at ADDRESS
+)";
+
+struct Context {
+    options::variables_map arguments;
+    std::vector<std::string> words;
+    bool asJson = false;
+};
+
+std::string word(const Context& context, size_t n) { return n < context.words.size() ? context.words[n] : ""; }
+
+int fail(const std::string& what, int code = daemon::exitFailure)
+{
+    std::cerr << "fescuectl: " << what << '\n';
+    return code;
+}
+
+Result<std::string> readFile(const std::string& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream)
+        return tl::unexpected(Error { Verdict::NotRun, 400, path + ": can't be read" });
+    std::ostringstream content;
+    content << stream.rdbuf();
+    return content.str();
+}
+
+// Calls an entry; `administrative` chooses its operators' address and adds their token.
+Result<http::ClientResponse> call(
+    const Context& context, bool administrative, const std::string& method, const std::string& path, const std::string& body = "")
+{
+    const char* option = administrative ? "entry" : "callers";
+    if (context.arguments.count(option) == 0)
+        return tl::unexpected(Error { Verdict::NotRun, 400, std::string("--") + option + " IP:PORT is required" });
+    http::ClientRequest request;
+    request.method = method;
+    request.url = "http://" + context.arguments[option].as<std::string>() + path;
+    request.body = body;
+    request.timeout = std::chrono::seconds(context.arguments["timeout"].as<unsigned>());
+    if (administrative) {
+        if (context.arguments.count("token") == 0)
+            return tl::unexpected(Error { Verdict::NotRun, 400, "--token FILE is required" });
+        const auto token = settings::readSecret(context.arguments["token"].as<std::string>());
+        if (!token)
+            return tl::unexpected(Error { Verdict::NotRun, 400, token.error() });
+        request.headers.push_back("Authorization: Bearer " + *token);
+    }
+    http::Client client;
+    return client.call(request);
+}
+
+// Prints an answer and returns the exit code.
+int print(const Context& context, const Result<http::ClientResponse>& response)
+{
+    if (!response)
+        return fail(response.error().detail + " (" + std::string(toString(response.error().verdict)) + ")");
+    const json body = json::parse(response->body, nullptr, false);
+    if (context.asJson || body.is_discarded())
+        std::cout << response->body << '\n';
+    else if (response->status >= 400)
+        return fail(body.value("detail", "") + " (" + body.value("verdict", "") + ")");
+    else
+        std::cout << body.dump(2) << '\n';
+    return response->status < 400 ? 0 : daemon::exitFailure;
+}
+
+int keygen(const Context& context)
+{
+    const std::string path = word(context, 1);
+    if (path.empty())
+        return fail("keygen FILE", daemon::exitUsage);
+    const mode_t before = umask(077);
+    std::ofstream stream(path, std::ios::trunc);
+    umask(before);
+    const net::KeyPair keys = net::generateKeyPair();
+    stream << keys.publicKey << '\n' << keys.secretKey << '\n';
+    stream.close();
+    return stream ? 0 : fail(path + ": can't be written");
+}
+
+Result<wire::TeamConfiguration> planFile(const std::string& path, std::string& content)
+{
+    auto read = readFile(path);
+    if (!read)
+        return tl::unexpected(read.error());
+    content = *read;
+    auto plan = questionnaire::plan(path, content);
+    if (!plan)
+        return tl::unexpected(Error { Verdict::NotRun, 400, plan.error() });
+    return *plan;
+}
+
+int plan(const Context& context)
+{
+    std::string content;
+    const auto planned = planFile(word(context, 1), content);
+    if (!planned)
+        return fail(planned.error().detail, daemon::exitUsage);
+    const std::string described = questionnaire::describe(*planned);
+    if (context.arguments.count("entry") == 0) {
+        std::cout << described;
+        return 0;
+    }
+    const auto response = call(context, true, "GET", "/v1/teams/" + planned->team());
+    if (!response)
+        return fail(response.error().detail);
+    const json body = json::parse(response->body, nullptr, false);
+    const std::string before = response->status == 200 ? body.value("settings", "") : "";
+    std::istringstream lines(described);
+    for (std::string line; std::getline(lines, line);)
+        if (before.find(line + "\n") == std::string::npos)
+            std::cout << "+ " << line << '\n';
+    std::istringstream oldLines(before);
+    for (std::string line; std::getline(oldLines, line);)
+        if (described.find(line + "\n") == std::string::npos)
+            std::cout << "- " << line << '\n';
+    return 0;
+}
+
+int apply(const Context& context)
+{
+    std::string content;
+    const auto planned = planFile(word(context, 1), content);
+    if (!planned)
+        return fail(planned.error().detail, daemon::exitUsage);
+    // The same file applied again is the same change, so that a lost answer can be asked for again.
+    const std::string change
+        = context.arguments.count("change") > 0 ? context.arguments["change"].as<std::string>() : contentDigest(content);
+    return print(
+        context, call(context, true, "PUT", "/v1/teams/" + planned->team() + "/questionnaire?change=" + change, content));
+}
+
+int submission(const Context& context, const std::string& method)
+{
+    if (word(context, 2).empty())
+        return fail("TEAM and ID are required", daemon::exitUsage);
+    std::string body;
+    if (method == "PUT") {
+        const auto content = readFile(word(context, 3));
+        if (!content)
+            return fail(content.error().detail, daemon::exitUsage);
+        body = *content;
+    }
+    return print(
+        context, call(context, false, method, "/v1/teams/" + word(context, 1) + "/submissions/" + word(context, 2), body));
+}
+
+void printStatus(const json& status)
+{
+    const uint64_t version = status.value("configuration_version", uint64_t { 0 });
+    const json& group = status["group"];
+    std::cout << "configuration " << version << ", leader " << group.value("leader", 0) << ", term " << group.value("term", 0)
+              << ", committed " << group.value("commit_index", 0) << "\n\nREPLICA  ADDRESS                VOTER  MATCH\n";
+    for (const auto& it : group["replicas"])
+        std::cout << std::left << std::setw(9) << it.value("id", 0) << std::setw(23) << it.value("address", "") << std::setw(7)
+                  << (it.value("voter", false) ? "yes" : "no") << it.value("match_index", 0) << '\n';
+    std::cout << "\nENTRY                      ADDRESS                CONFIGURATION\n";
+    for (const auto& it : group["entries"]) {
+        const uint64_t inForce = it.value("configuration_version", uint64_t { 0 });
+        std::cout << std::left << std::setw(27) << it.value("entry", "") << std::setw(23) << it.value("address", "") << inForce
+                  << (inForce < version ? " lags" : "") << (it.value("draining", false) ? " draining" : "") << '\n';
+    }
+    std::cout << "\nSERVICE           EPOCH  OWNER\n";
+    for (const auto& it : status["services"])
+        std::cout << std::left << std::setw(18) << it.value("service", "") << std::setw(7) << it.value("epoch", 0)
+                  << it.value("owner", "") << '\n';
+    std::cout << "\nAGENT             DOMAIN      SERVICE           STATE    SLOTS  RUNNING  CONFIGURATION\n";
+    for (const auto& it : status["agents"]) {
+        const uint64_t inForce = it.value("configuration_version", uint64_t { 0 });
+        std::cout << std::left << std::setw(18) << it.value("agent", "") << std::setw(12) << it.value("domain", "")
+                  << std::setw(18) << it.value("service", "") << std::setw(9) << it.value("state", "") << std::setw(7)
+                  << it.value("slots", 0) << std::setw(9) << it.value("running", 0) << inForce
+                  << (inForce < version ? " lags" : "") << '\n';
+    }
+}
+
+int status(const Context& context)
+{
+    const auto response = call(context, true, "GET", "/v1/status");
+    if (!response || response->status != 200 || context.asJson)
+        return print(context, response);
+    printStatus(json::parse(response->body));
+    return 0;
+}
+
+int replace(const Context& context)
+{
+    if (word(context, 3).empty())
+        return fail("replace ADD ADDRESS OLD", daemon::exitUsage);
+    const std::string query = "add=" + word(context, 1) + "&address=" + word(context, 2) + "&replaces=" + word(context, 3);
+    return print(context, call(context, true, "POST", "/v1/state/replace?" + query));
+}
+
+int dispatch(const Context& context)
+{
+    const std::string command = word(context, 0);
+    if (command == "keygen")
+        return keygen(context);
+    if (command == "plan")
+        return plan(context);
+    if (command == "apply")
+        return apply(context);
+    if (command == "team")
+        return print(context, call(context, true, "GET", "/v1/teams/" + word(context, 1)));
+    if (command == "submit")
+        return submission(context, "PUT");
+    if (command == "get")
+        return submission(context, "GET");
+    if (command == "cancel")
+        return submission(context, "DELETE");
+    if (command == "status")
+        return status(context);
+    if (command == "replace")
+        return replace(context);
+    return fail("unknown command '" + command + "'; see --help", daemon::exitUsage);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description visible("Options");
+    visible.add_options()("entry", options::value<std::string>(), "an entry's administrative address, IP:PORT")("callers",
+        options::value<std::string>(),
+        "an entry's address for callers, IP:PORT")("token", options::value<std::string>(), "the file with the operators' token")(
+        "change", options::value<std::string>(), "the change id of apply (default: digest of the file)")(
+        "timeout", options::value<unsigned>()->default_value(70), "seconds to wait for an answer")(
+        "json", "print answers as they came")("help", "print this text")("version", "print the version");
+    options::options_description hidden;
+    hidden.add_options()("words", options::value<std::vector<std::string>>());
+    options::options_description all;
+    all.add(visible).add(hidden);
+    options::positional_options_description positions;
+    positions.add("words", -1);
+    Context context;
+    try {
+        options::store(options::command_line_parser(argc, argv).options(all).positional(positions).run(), context.arguments);
+    } catch (const options::error& error) {
+        return fail(std::string(error.what()) + "; see --help", daemon::exitUsage);
+    }
+    if (context.arguments.count("version") > 0) {
+        std::cout << "fescuectl " << daemon::version << '\n';
+        return 0;
+    }
+    if (context.arguments.count("help") > 0 || context.arguments.count("words") == 0) {
+        std::cout << usage << '\n' << visible << '\n';
+        return context.arguments.count("help") > 0 ? 0 : daemon::exitUsage;
+    }
+    context.words = context.arguments["words"].as<std::vector<std::string>>();
+    context.asJson = context.arguments.count("json") > 0;
+    http::initialiseClients();
+    return dispatch(context);
+}
--- /dev/null
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -0,0 +1,253 @@
+// Taking a service over, and what agents hold: enrolment, collection, loss.
+#include "fescuegw/dispatch/ServiceDispatcher.h"
+
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::dispatch {
+
+using logging::Event;
+using logging::Level;
+
+void ServiceDispatcher::load(TimePoint /*now*/)
+{
+    Event(Level::Info, "service_takeover").with("service", m_service).with("epoch", m_epoch).with("agents", m_enrolled.size());
+    m_hooks.fetchOpenClaims(
+        m_service, m_epoch, [this](TimePoint then, const wire::OpenClaimsReply& reply) { onClaimsLoaded(then, reply); });
+}
+
+void ServiceDispatcher::onClaimsLoaded(TimePoint now, const wire::OpenClaimsReply& reply)
+{
+    // When the epoch has moved on, the next view says so and this object goes.
+    if (m_state != State::Loading || !reply.current())
+        return;
+    for (const auto& it : reply.claims()) {
+        wire::ServiceConfiguration configuration;
+        configuration.set_name(m_service);
+        m_submissions.try_emplace({ it.team(), it.id() }, Tracked { Submission(now, it, m_enrolled), configuration, 1, {} });
+    }
+    Event(Level::Info, "claims_recovered").with("service", m_service).with("claims", m_submissions.size());
+    m_state = State::Collecting;
+    for (auto& it : m_upstreams)
+        collectFrom(now, it.second);
+    finishCollecting(now);
+    std::vector<Pending> pending;
+    pending.swap(m_pending);
+    for (auto& it : pending)
+        submit(now, std::move(it.spec), it.team, it.due, std::move(it.reply));
+}
+
+void ServiceDispatcher::finishCollecting(TimePoint now)
+{
+    if (m_state != State::Collecting)
+        return;
+    if (!m_awaited.empty() && now - m_started < m_options.upstream.lease)
+        return;
+    for (const auto& it : m_awaited) {
+        Event(Level::Warn, "agent_not_heard").with("service", m_service).with("agent", toString(it));
+        m_lost.insert(it);
+    }
+    m_state = State::Serving;
+    Event(Level::Info, "service_serving").with("service", m_service).with("epoch", m_epoch).with("missing", m_awaited.size());
+    resolveAll(now);
+}
+
+// A task that no agent reports was never started, provided that every agent that could have started it has answered.
+void ServiceDispatcher::resolveAll(TimePoint now)
+{
+    const bool allAnswered = m_awaited.empty();
+    m_awaited.clear();
+    std::vector<SubmissionKey> keys;
+    for (const auto& it : m_submissions)
+        keys.push_back(it.first);
+    for (const auto& key : keys) {
+        Tracked* tracked = find(key);
+        if (tracked == nullptr || tracked->submission.phase() != Phase::Running)
+            continue;
+        tracked->submission.resolve(allAnswered, "its worker and the entry that dispatched it were lost");
+        enqueue(*tracked);
+        afterChange(now, *tracked);
+    }
+    schedule(now);
+}
+
+void ServiceDispatcher::enrol(const AgentId& agent)
+{
+    wire::Command command;
+    command.mutable_enrol()->set_service(m_service);
+    command.mutable_enrol()->set_agent(agent.name);
+    command.mutable_enrol()->set_incarnation(agent.incarnation);
+    command.mutable_enrol()->set_epoch(m_epoch);
+    m_hooks.propose(command, [this, agent](TimePoint then, const wire::CommandResult& result) {
+        const auto it = m_upstreams.find(agent);
+        if (result.code() != wire::ACCEPTED && result.code() != wire::REPEATED)
+            return;
+        m_enrolled.insert(agent);
+        if (it == m_upstreams.end()) {
+            m_lost.insert(agent);
+            return;
+        }
+        it->second.setEnrolled();
+        schedule(then);
+    });
+}
+
+void ServiceDispatcher::retireLost(TimePoint /*now*/)
+{
+    if (m_state != State::Serving)
+        return;
+    for (auto it = m_lost.begin(); it != m_lost.end();) {
+        bool referenced = false;
+        for (const auto& tracked : m_submissions)
+            referenced = referenced || tracked.second.submission.agents().contains(*it);
+        if (referenced || !m_enrolled.contains(*it)) {
+            ++it;
+            continue;
+        }
+        // No open submission can have a task there any more, so no later owner needs to ask for it.
+        wire::Command command;
+        command.mutable_retire()->set_service(m_service);
+        command.mutable_retire()->set_agent(it->name);
+        command.mutable_retire()->set_incarnation(it->incarnation);
+        command.mutable_retire()->set_epoch(m_epoch);
+        m_hooks.propose(command, [](TimePoint, const wire::CommandResult&) {});
+        m_enrolled.erase(*it);
+        it = m_lost.erase(it);
+    }
+}
+
+void ServiceDispatcher::onReport(TimePoint now, const AgentId& agent, const wire::AgentReport& report)
+{
+    auto it = m_upstreams.find(agent);
+    if (it == m_upstreams.end()) {
+        // A later incarnation proves that the earlier ones are gone.
+        std::vector<AgentId> earlier;
+        for (const auto& other : m_upstreams)
+            if (other.first.name == agent.name && other.first.incarnation < agent.incarnation)
+                earlier.push_back(other.first);
+        for (const auto& other : earlier)
+            loseAgent(now, other, "the agent was restarted");
+        it = m_upstreams.try_emplace(agent, now, agent, m_options.upstream).first;
+        m_lost.erase(agent);
+        if (m_enrolled.contains(agent))
+            it->second.setEnrolled();
+        else
+            enrol(agent);
+    }
+    const bool differs = it->second.onReport(now, report);
+    if (differs && m_state != State::Loading)
+        collectFrom(now, it->second);
+    // An answer travels with the agent's next report at the latest.
+    outbox(agent).urgent = outbox(agent).message.releases_size() > 0;
+    if (!it->second.collecting())
+        schedule(now);
+}
+
+void ServiceDispatcher::collectFrom(TimePoint now, Upstream& upstream)
+{
+    // What was gathered for the agent goes first: the answer must tell of everything sent before.
+    flush(now);
+    AgentOutbox& box = outbox(upstream.agent());
+    box.message.set_collect(true);
+    box.urgent = true;
+    const uint64_t sequence = upstream.nextSequence();
+    box.message.set_sequence(sequence);
+    upstream.setCollecting(now, sequence);
+    ++m_counters.collects;
+    flush(now);
+}
+
+void ServiceDispatcher::onHeld(TimePoint now, const AgentId& agent, const wire::HeldTasks& held)
+{
+    const auto it = m_upstreams.find(agent);
+    if (it == m_upstreams.end() || held.epoch() != m_epoch || !it->second.onHeld(held.sequence()))
+        return;
+    Upstream& upstream = it->second;
+    upstream.onContact(now);
+    // What we believed to be there and is not in the list never arrived, and can't start any more: the agent refuses
+    // messages older than the one it has answered.
+    std::set<AttemptRef> missing;
+    for (const auto& occupied : upstream.occupations())
+        missing.insert(occupied.first);
+    upstream.clearOccupations();
+    for (const auto& task : held.tasks()) {
+        missing.erase(AttemptRef { { task.key().team(), task.key().submission() }, task.key().index(), task.attempt() });
+        adoptHeld(now, upstream, task);
+    }
+    for (const auto& ref : missing) {
+        Tracked* tracked = find(ref.key);
+        const int position = tracked == nullptr ? -1 : tracked->submission.position(ref.index);
+        if (position >= 0 && tracked->submission.endNotRun(position, ref.attempt))
+            enqueue(*tracked);
+    }
+    m_awaited.erase(agent);
+    finishCollecting(now);
+    schedule(now);
+}
+
+void ServiceDispatcher::adoptHeld(TimePoint now, Upstream& upstream, const wire::TaskResult& task)
+{
+    const AttemptRef ref { { task.key().team(), task.key().submission() }, task.key().index(), task.attempt() };
+    if (task.running())
+        upstream.occupy(ref, Size { task.cores_milli(), task.memory_mb() });
+    if (!task.durable())
+        return;
+    Tracked* tracked = find(ref.key);
+    const int position = tracked == nullptr ? -1 : tracked->submission.position(ref.index);
+    if (position < 0) {
+        // Its submission has ended without it.
+        ++m_counters.strayResults;
+        if (task.running())
+            sendCancel(upstream.agent(), ref);
+        release(upstream.agent(), ref.key);
+        return;
+    }
+    tracked->submission.adoptAttempt(now, position, upstream.agent(), task.attempt());
+    if (!task.running())
+        applyResult(now, *tracked, nullptr, task);
+}
+
+void ServiceDispatcher::loseAgent(TimePoint now, const AgentId& agent, const std::string& reason)
+{
+    const auto found = m_upstreams.find(agent);
+    const std::map<AttemptRef, Size> occupations = found->second.occupations();
+    Event(Level::Warn, "agent_lost")
+        .with("service", m_service)
+        .with("agent", toString(agent))
+        .with("tasks", occupations.size())
+        .with("reason", reason);
+    ++m_counters.lostAgents;
+    m_upstreams.erase(found);
+    m_outboxes.erase(agent);
+    m_lost.insert(agent);
+    for (const auto& it : occupations) {
+        Tracked* tracked = find(it.first.key);
+        const int position = tracked == nullptr ? -1 : tracked->submission.position(it.first.index);
+        if (position < 0)
+            continue;
+        const bool again = mayRepeat(*tracked);
+        if (!tracked->submission.fail(position, it.first.attempt, Verdict::MayHaveRun, reason, again))
+            continue;
+        enqueue(*tracked);
+        afterChange(now, *tracked);
+    }
+}
+
+void ServiceDispatcher::onUndeliverable(TimePoint now, const AgentId& agent, const wire::EntryToAgent& message)
+{
+    const auto it = m_upstreams.find(agent);
+    for (const auto& task : message.dispatches()) {
+        const AttemptRef ref { { task.key().team(), task.key().submission() }, task.key().index(), task.attempt() };
+        ++m_counters.refused;
+        if (it != m_upstreams.end())
+            it->second.vacate(ref);
+        Tracked* tracked = find(ref.key);
+        const int position = tracked == nullptr ? -1 : tracked->submission.position(ref.index);
+        if (position >= 0 && tracked->submission.endNotRun(position, ref.attempt))
+            enqueue(*tracked);
+    }
+    // The link is gone; the agent takes no work until it has reported again and told what it holds.
+    if (it != m_upstreams.end())
+        it->second.setCollecting(now, 0);
+}
+
+} // namespace fescuegw::dispatch
--- /dev/null
+++ b/fescuegw/dispatch/Scheduling.cpp
@@ -0,0 +1,253 @@
+// Placement of tasks on upstreams, hedges, and what comes back.
+#include <algorithm>
+
+#include "fescuegw/dispatch/ServiceDispatcher.h"
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::dispatch {
+
+namespace {
+
+    // Weight of the newest run time in the running mean.
+    constexpr double meanGain = 0.05;
+    // A request is hedged when it has run for this many mean deviations more than the mean.
+    constexpr double hedgeDeviations = 4;
+    constexpr uint32_t runLimitDefaultMs = 600 * 1000;
+
+    Size sizeOf(const wire::TaskInput& input) { return Size { input.cores_milli(), input.memory_mb() }; }
+
+} // namespace
+
+uint32_t ServiceDispatcher::totalSlots() const
+{
+    uint32_t n = 0;
+    for (const auto& it : m_upstreams)
+        n += it.second.report().slots();
+    return std::max(n, 1U);
+}
+
+// The time at which the submission would be done on an idle system. Small submissions come before large ones that arrived
+// shortly before, and a large one is overtaken only for about its own ideal duration.
+TimePoint ServiceDispatcher::virtualDeadline(const Tracked& tracked) const
+{
+    const uint64_t rounds = (tracked.submission.spec().tasks.size() + totalSlots() - 1) / totalSlots();
+    const auto run = Duration(std::chrono::milliseconds(std::max(tracked.configuration.expected_run_ms(), 1U)));
+    return tracked.submission.submitted() + static_cast<int64_t>(rounds) * run;
+}
+
+void ServiceDispatcher::enqueue(Tracked& tracked)
+{
+    const Submission& submission = tracked.submission;
+    if (submission.phase() == Phase::Running && submission.hasQueued())
+        m_queue.push(submission.key(), tracked.share, virtualDeadline(tracked));
+}
+
+void ServiceDispatcher::schedule(TimePoint now)
+{
+    if (m_state == State::Loading)
+        return;
+    while (const auto key = m_queue.next()) {
+        Tracked* tracked = find(*key);
+        if (tracked == nullptr || !tracked->submission.hasQueued()) {
+            m_queue.remove(*key);
+            continue;
+        }
+        if (!placeNext(now, *tracked))
+            return;
+    }
+}
+
+bool ServiceDispatcher::placeNext(TimePoint now, Tracked& tracked)
+{
+    const int position = tracked.submission.nextQueued();
+    Upstream* upstream = chooseUpstream(now, sizeOf(tracked.submission.input(position)));
+    if (upstream == nullptr)
+        return false;
+    dispatchTask(now, tracked, position, *upstream);
+    m_queue.charge(
+        tracked.submission.key().team, std::chrono::milliseconds(std::max(tracked.configuration.expected_run_ms(), 1U)));
+    if (!tracked.submission.hasQueued())
+        m_queue.remove(tracked.submission.key());
+    return true;
+}
+
+Upstream* ServiceDispatcher::chooseUpstream(TimePoint now, const Size& size)
+{
+    Upstream* chosen = nullptr;
+    uint32_t most = 0;
+    for (auto& it : m_upstreams) {
+        const uint32_t free = it.second.freeSlots(now);
+        if (free <= most || !it.second.fits(now, size))
+            continue;
+        most = free;
+        chosen = &it.second;
+    }
+    return chosen;
+}
+
+void ServiceDispatcher::dispatchTask(TimePoint now, Tracked& tracked, int position, Upstream& upstream)
+{
+    Submission& submission = tracked.submission;
+    const wire::TaskInput& input = submission.input(position);
+    const uint32_t attempt = submission.beginAttempt(now, position, upstream.agent());
+    upstream.occupy(AttemptRef { submission.key(), input.index(), attempt }, sizeOf(input));
+    AgentOutbox& box = outbox(upstream.agent());
+    box.urgent = true;
+    wire::TaskDispatch& task = *box.message.add_dispatches();
+    task.mutable_key()->set_team(submission.key().team);
+    task.mutable_key()->set_submission(submission.key().id);
+    task.mutable_key()->set_index(input.index());
+    task.set_attempt(attempt);
+    task.set_start_by_us(upstream.startBy(now));
+    task.set_input(input.input());
+    task.set_cores_milli(input.cores_milli());
+    task.set_memory_mb(input.memory_mb());
+    task.set_durable(submission.spec().durable);
+    task.set_traceparent(submission.spec().traceparent);
+    const uint32_t expected = tracked.configuration.expected_run_ms();
+    const auto least = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.runLimitLeast).count();
+    const uint32_t limit = std::max(expected * m_options.runLimitFactor, static_cast<uint32_t>(least));
+    task.set_run_limit_ms(expected == 0 ? runLimitDefaultMs : limit);
+    ++m_counters.dispatched;
+}
+
+void ServiceDispatcher::hedge(TimePoint now)
+{
+    if (m_meanRun <= 0)
+        return;
+    const auto patience = Duration(static_cast<int64_t>(m_meanRun + hedgeDeviations * m_runDeviation));
+    for (auto& it : m_submissions) {
+        Submission& submission = it.second.submission;
+        if (submission.spec().durable || submission.phase() != Phase::Running || submission.hasQueued())
+            continue;
+        const auto& attempts = submission.attempts(0);
+        double& tokens = m_hedgeTokens[it.first.team];
+        if (attempts.size() != 1 || now - attempts.front().dispatched < patience || tokens < 1)
+            continue;
+        Upstream* upstream = chooseUpstream(now, sizeOf(submission.input(0)));
+        if (upstream == nullptr || upstream->agent() == attempts.front().agent)
+            continue;
+        tokens -= 1;
+        ++m_counters.hedged;
+        dispatchTask(now, it.second, 0, *upstream);
+    }
+}
+
+void ServiceDispatcher::onResults(TimePoint now, const AgentId& agent, const std::vector<wire::TaskResult>& results)
+{
+    const auto it = m_upstreams.find(agent);
+    // Until the agent has told what it holds, its results are not taken: the list will have them.
+    if (it == m_upstreams.end() || it->second.collecting())
+        return;
+    it->second.onContact(now);
+    for (const auto& result : results)
+        onResult(now, it->second, result);
+    schedule(now);
+}
+
+void ServiceDispatcher::onResult(TimePoint now, Upstream& upstream, const wire::TaskResult& result)
+{
+    const AttemptRef ref { { result.key().team(), result.key().submission() }, result.key().index(), result.attempt() };
+    upstream.vacate(ref);
+    Tracked* tracked = find(ref.key);
+    if (tracked == nullptr) {
+        ++m_counters.strayResults;
+        release(upstream.agent(), ref.key);
+        return;
+    }
+    applyResult(now, *tracked, &upstream, result);
+}
+
+void ServiceDispatcher::applyResult(TimePoint now, Tracked& tracked, Upstream* upstream, const wire::TaskResult& result)
+{
+    Submission& submission = tracked.submission;
+    const int position = submission.position(result.key().index());
+    if (position < 0)
+        return;
+    const Verdict verdict = fromWire(result.verdict());
+    bool used = false;
+    if (result.succeeded()) {
+        used = submission.succeed(position, result.attempt(), result.output());
+        if (used) {
+            const double run = static_cast<double>(result.run_us());
+            m_runDeviation += meanGain * (std::abs(run - m_meanRun) - m_runDeviation);
+            m_meanRun += (m_meanRun <= 0 ? 1 : meanGain) * (run - m_meanRun);
+        }
+        if (upstream != nullptr)
+            upstream->onSuccess();
+    } else if (verdict == Verdict::NotRun) {
+        ++m_counters.refused;
+        used = submission.endNotRun(position, result.attempt());
+        if (upstream != nullptr)
+            upstream->onRefusal(now);
+    } else {
+        const bool again = mayRepeat(tracked);
+        used = submission.fail(position, result.attempt(), verdict, result.reason(), again);
+        if (upstream != nullptr && upstream->onFailure(now)) {
+            ++m_counters.ejections;
+            logging::Event(logging::Level::Warn, "upstream_ejected")
+                .with("service", m_service)
+                .with("agent", toString(upstream->agent()));
+        }
+    }
+    if (!used)
+        ++m_counters.strayResults;
+    enqueue(tracked);
+    afterChange(now, tracked);
+}
+
+ServiceDispatcher::AgentOutbox& ServiceDispatcher::outbox(const AgentId& agent) { return m_outboxes[agent]; }
+
+void ServiceDispatcher::release(const AgentId& agent, const SubmissionKey& key)
+{
+    if (!m_upstreams.contains(agent))
+        return;
+    wire::TaskKey* released = outbox(agent).message.add_releases();
+    released->set_team(key.team);
+    released->set_submission(key.id);
+}
+
+void ServiceDispatcher::sendCancel(const AgentId& agent, const AttemptRef& ref)
+{
+    if (!m_upstreams.contains(agent))
+        return;
+    AgentOutbox& box = outbox(agent);
+    wire::TaskKey* cancelled = box.message.add_cancels();
+    cancelled->set_team(ref.key.team);
+    cancelled->set_submission(ref.key.id);
+    cancelled->set_index(ref.index);
+    box.urgent = true;
+    ++m_counters.cancels;
+}
+
+void ServiceDispatcher::flush(TimePoint now)
+{
+    for (auto& it : m_outboxes) {
+        AgentOutbox& box = it.second;
+        wire::EntryToAgent& message = box.message;
+        const bool newConfiguration = box.configurationSent != m_configurationVersion;
+        const bool hasContent = message.collect() || message.dispatches_size() > 0 || message.cancels_size() > 0
+            || message.releases_size() > 0 || newConfiguration;
+        const auto found = m_upstreams.find(it.first);
+        const bool wait = !box.urgent && !newConfiguration && now - box.lastSent < m_options.releaseInterval;
+        if (!hasContent || wait || found == m_upstreams.end() || m_state == State::Loading)
+            continue;
+        if (message.dispatches_size() == 0 && message.cancels_size() == 0 && !message.collect())
+            ++m_counters.releaseMessages;
+        if (message.sequence() == 0)
+            message.set_sequence(found->second.nextSequence());
+        message.set_entry(m_options.entry);
+        message.set_service(m_service);
+        message.set_epoch(m_epoch);
+        message.set_incarnation(it.first.incarnation);
+        message.set_configuration_version(m_configurationVersion);
+        wire::EntryToAgent sent;
+        sent.Swap(&message);
+        box.urgent = false;
+        box.lastSent = now;
+        box.configurationSent = m_configurationVersion;
+        m_hooks.sendToAgent(it.first, sent);
+    }
+}
+
+} // namespace fescuegw::dispatch
--- /dev/null
+++ b/fescuegw/dispatch/ServiceDispatcher.cpp
@@ -0,0 +1,376 @@
+// Admission, waiting callers and the life of a submission. Recovery, agents and scheduling have files of their own.
+#include "fescuegw/dispatch/ServiceDispatcher.h"
+
+#include <algorithm>
+
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::dispatch {
+
+namespace {
+
+    constexpr int statusConflict = 409;
+    constexpr int statusGone = 410;
+    constexpr int statusUnprocessable = 422;
+    constexpr int statusTooMany = 429;
+    constexpr int statusUnavailable = 503;
+    constexpr int statusNotFound = 404;
+    constexpr Duration slowTick = std::chrono::milliseconds(100);
+    constexpr double mostTokens = 10;
+    constexpr double percent = 100;
+
+    Reply refused(const Error& error) { return Reply { Reply::Kind::Refused, {}, error }; }
+
+    // Returns what a caller with content `digest` is told of a claim that was made earlier.
+    Reply replyFor(const wire::StoredClaim& stored, const std::string& digest)
+    {
+        if (stored.claim().digest() != digest)
+            return refused({ Verdict::NotRun, statusConflict, "this id was submitted with other content" });
+        if (!stored.finished())
+            return Reply { Reply::Kind::NotOwner, {}, {} };
+        if (stored.answer_expired())
+            return refused({ Verdict::Ran, statusGone, "finished earlier; its answer is no longer kept" });
+        return Reply { Reply::Kind::Done, stored.outcome(), {} };
+    }
+
+    const wire::ServiceConfiguration* findService(const wire::TeamConfiguration& team, const std::string& service)
+    {
+        for (const auto& it : team.services())
+            if (it.name() == service)
+                return &it;
+        return nullptr;
+    }
+
+} // namespace
+
+ServiceDispatcher::ServiceDispatcher(
+    TimePoint now, DispatchOptions options, std::string service, uint64_t epoch, std::set<AgentId> enrolled, DispatchHooks hooks)
+    : m_options(std::move(options))
+    , m_service(std::move(service))
+    , m_epoch(epoch)
+    , m_hooks(std::move(hooks))
+    , m_started(now)
+    , m_awaited(enrolled)
+    , m_enrolled(std::move(enrolled))
+    , m_slowTickDue(now)
+{
+    load(now);
+}
+
+ServiceDispatcher::Tracked* ServiceDispatcher::find(const SubmissionKey& key)
+{
+    const auto it = m_submissions.find(key);
+    return it == m_submissions.end() ? nullptr : &it->second;
+}
+
+size_t ServiceDispatcher::queuedTasks() const
+{
+    size_t n = 0;
+    for (const auto& it : m_submissions)
+        n += it.second.submission.queuedCount();
+    return n;
+}
+
+size_t ServiceDispatcher::runningTasks() const
+{
+    size_t n = 0;
+    for (const auto& it : m_upstreams)
+        n += it.second.occupations().size();
+    return n;
+}
+
+std::optional<Error> ServiceDispatcher::refusal(
+    const SubmissionSpec& spec, const wire::TeamConfiguration& team, const wire::ServiceConfiguration* service) const
+{
+    if (service == nullptr)
+        return Error { Verdict::NotRun, statusNotFound, "team " + spec.key.team + " has no service " + spec.service };
+    size_t queued = 0;
+    size_t ofTeam = 0;
+    for (const auto& it : m_submissions) {
+        queued += it.second.submission.queuedCount();
+        ofTeam += it.first.team == spec.key.team ? it.second.submission.unsettledCount() : 0;
+    }
+    if (ofTeam + spec.tasks.size() > team.tasks_in_flight_limit())
+        return Error { Verdict::NotRun, statusTooMany,
+            "over quota: " + std::to_string(ofTeam) + " of " + std::to_string(team.tasks_in_flight_limit())
+                + " tasks are in flight" };
+    if (queued + spec.tasks.size() > service->queue_limit())
+        return Error { Verdict::NotRun, statusUnavailable, std::to_string(queued) + " tasks are waiting; the queue is full" };
+    if (m_upstreams.empty())
+        return std::nullopt;
+    for (const auto& task : spec.tasks) {
+        const Size size { task.cores_milli(), task.memory_mb() };
+        const bool fits
+            = std::any_of(m_upstreams.begin(), m_upstreams.end(), [&size](const auto& it) { return it.second.couldFit(size); });
+        if (!fits)
+            return Error { Verdict::NotRun, statusUnprocessable,
+                "task " + std::to_string(task.index()) + " is larger than every worker of the service" };
+    }
+    return std::nullopt;
+}
+
+void ServiceDispatcher::submit(
+    TimePoint now, SubmissionSpec spec, const wire::TeamConfiguration& team, TimePoint due, ReplyHook reply)
+{
+    if (m_state == State::Loading) {
+        m_pending.push_back(Pending { std::move(spec), team, due, std::move(reply) });
+        return;
+    }
+    if (Tracked* running = find(spec.key)) {
+        if (running->submission.spec().digest != spec.digest) {
+            reply(refused({ Verdict::NotRun, statusConflict, "this id was submitted with other content" }));
+            return;
+        }
+        running->waiters.push_back(Waiter { due, std::move(reply) });
+        return;
+    }
+    const wire::ServiceConfiguration* service = findService(team, spec.service);
+    if (const auto error = refusal(spec, team, service)) {
+        refuseUnlessKnown(spec, *error, reply);
+        return;
+    }
+    const SubmissionKey key = spec.key;
+    Tracked tracked { Submission(now, std::move(spec)), *service, team.share(), {} };
+    tracked.waiters.push_back(Waiter { due, std::move(reply) });
+    Tracked& added = m_submissions.try_emplace(key, std::move(tracked)).first->second;
+    if (added.submission.spec().durable) {
+        startClaim(now, added);
+        return;
+    }
+    double& tokens = m_repeatTokens[key.team];
+    tokens = std::min(mostTokens, tokens + service->retry_budget_percent() / percent);
+    double& hedges = m_hedgeTokens[key.team];
+    hedges = std::min(mostTokens, hedges + service->hedge_budget_percent() / percent);
+    added.submission.setPhase(Phase::Running);
+    enqueue(added);
+    schedule(now);
+}
+
+// The submission may have run long ago, when there was room for it: then its answer stands, and "not run" would be wrong.
+void ServiceDispatcher::refuseUnlessKnown(const SubmissionSpec& spec, const Error& error, const ReplyHook& reply)
+{
+    if (!spec.durable) {
+        reply(refused(error));
+        return;
+    }
+    m_hooks.lookup(spec.key, [reply, error, digest = spec.digest](TimePoint, const wire::LookupReply& found) {
+        if (!found.found())
+            reply(refused(error));
+        else
+            reply(replyFor(found.claim(), digest));
+    });
+}
+
+void ServiceDispatcher::startClaim(TimePoint /*now*/, Tracked& tracked)
+{
+    const SubmissionSpec& spec = tracked.submission.spec();
+    wire::Command command;
+    wire::Claim& claim = *command.mutable_claim();
+    claim.set_team(spec.key.team);
+    claim.set_id(spec.key.id);
+    claim.set_digest(spec.digest);
+    claim.set_service(spec.service);
+    claim.set_owner(m_options.entry);
+    claim.set_epoch(m_epoch);
+    claim.set_traceparent(spec.traceparent);
+    for (const auto& it : spec.tasks)
+        *claim.add_tasks() = it;
+    m_hooks.propose(command,
+        [this, key = spec.key](TimePoint then, const wire::CommandResult& result) { onClaimDecided(then, key, result); });
+}
+
+void ServiceDispatcher::onClaimDecided(TimePoint now, const SubmissionKey& key, const wire::CommandResult& result)
+{
+    Tracked* tracked = find(key);
+    if (tracked == nullptr || tracked->submission.phase() != Phase::Claiming)
+        return;
+    switch (result.code()) {
+    case wire::ACCEPTED:
+    case wire::OPEN:
+        // Open under the own epoch: the claim was sent twice. Claims of earlier epochs are tracked since the takeover.
+        tracked->submission.setPhase(Phase::Running);
+        enqueue(*tracked);
+        schedule(now);
+        afterChange(now, *tracked);
+        return;
+    case wire::FINISHED:
+        complete(*tracked, result.outcome());
+        return;
+    case wire::EXPIRED:
+        refuse(key, { Verdict::Ran, statusGone, "finished earlier; its answer is no longer kept" });
+        return;
+    case wire::CONFLICT:
+        refuse(key, { Verdict::NotRun, statusConflict, result.detail() });
+        return;
+    default:
+        answerWaiters(*tracked, Reply { Reply::Kind::NotOwner, {}, {} });
+        erase(key);
+        return;
+    }
+}
+
+void ServiceDispatcher::refuse(const SubmissionKey& key, const Error& error)
+{
+    answerWaiters(*find(key), refused(error));
+    erase(key);
+}
+
+void ServiceDispatcher::answerWaiters(Tracked& tracked, const Reply& reply)
+{
+    std::vector<Waiter> waiters;
+    waiters.swap(tracked.waiters);
+    for (const auto& it : waiters)
+        it.reply(reply);
+}
+
+bool ServiceDispatcher::attach(TimePoint /*now*/, const SubmissionKey& key, TimePoint due, ReplyHook reply)
+{
+    Tracked* tracked = find(key);
+    if (tracked == nullptr)
+        return false;
+    tracked->waiters.push_back(Waiter { due, std::move(reply) });
+    return true;
+}
+
+bool ServiceDispatcher::cancel(TimePoint now, const SubmissionKey& key)
+{
+    Tracked* tracked = find(key);
+    if (tracked == nullptr)
+        return false;
+    if (tracked->submission.phase() != Phase::Running)
+        return true;
+    stopAttempts(*tracked);
+    tracked->submission.abandon("cancelled");
+    afterChange(now, *tracked);
+    return true;
+}
+
+void ServiceDispatcher::stopAttempts(const Tracked& tracked)
+{
+    const Submission& submission = tracked.submission;
+    for (size_t i = 0; i < submission.spec().tasks.size(); ++i) {
+        const int position = static_cast<int>(i);
+        for (const auto& it : submission.attempts(position))
+            sendCancel(it.agent, AttemptRef { submission.key(), submission.input(position).index(), it.number });
+    }
+}
+
+bool ServiceDispatcher::mayRepeat(const Tracked& tracked)
+{
+    if (tracked.submission.spec().durable)
+        return false;
+    double& tokens = m_repeatTokens[tracked.submission.key().team];
+    if (tokens < 1)
+        return false;
+    tokens -= 1;
+    ++m_counters.retried;
+    return true;
+}
+
+void ServiceDispatcher::afterChange(TimePoint now, Tracked& tracked)
+{
+    Submission& submission = tracked.submission;
+    if (submission.phase() != Phase::Running)
+        return;
+    if (submission.failed() && !submission.settled()) {
+        // The answer can no longer be complete, so nothing more is started for it.
+        stopAttempts(tracked);
+        submission.abandon("another task of the submission failed");
+    }
+    if (submission.settled())
+        finish(now, tracked);
+    else if (!submission.hasQueued())
+        m_queue.remove(submission.key());
+}
+
+void ServiceDispatcher::finish(TimePoint /*now*/, Tracked& tracked)
+{
+    Submission& submission = tracked.submission;
+    m_queue.remove(submission.key());
+    submission.setPhase(Phase::Finishing);
+    wire::Outcome outcome = submission.outcome();
+    if (!submission.spec().durable) {
+        stopAttempts(tracked);
+        complete(tracked, outcome);
+        return;
+    }
+    outcome.set_owner(m_options.entry);
+    outcome.set_epoch(m_epoch);
+    wire::Command command;
+    *command.mutable_outcome() = outcome;
+    m_hooks.propose(command, [this, key = submission.key()](TimePoint then, const wire::CommandResult& result) {
+        onFinishDecided(then, key, result);
+    });
+}
+
+void ServiceDispatcher::onFinishDecided(TimePoint /*now*/, const SubmissionKey& key, const wire::CommandResult& result)
+{
+    Tracked* tracked = find(key);
+    if (tracked == nullptr)
+        return;
+    if (result.code() == wire::ACCEPTED) {
+        complete(*tracked, tracked->submission.outcome());
+    } else if (result.code() == wire::FINISHED) {
+        complete(*tracked, result.outcome());
+    } else {
+        answerWaiters(*tracked, Reply { Reply::Kind::NotOwner, {}, {} });
+        erase(key);
+    }
+}
+
+void ServiceDispatcher::complete(Tracked& tracked, const wire::Outcome& outcome)
+{
+    const SubmissionKey key = tracked.submission.key();
+    for (const auto& it : tracked.submission.agents())
+        release(it, key);
+    answerWaiters(tracked, Reply { Reply::Kind::Done, outcome, {} });
+    erase(key);
+}
+
+void ServiceDispatcher::erase(const SubmissionKey& key)
+{
+    m_queue.remove(key);
+    m_submissions.erase(key);
+}
+
+void ServiceDispatcher::relinquish()
+{
+    const Reply notOwner { Reply::Kind::NotOwner, {}, {} };
+    for (auto& it : m_submissions)
+        answerWaiters(it.second, notOwner);
+    for (const auto& it : m_pending)
+        it.reply(notOwner);
+    m_submissions.clear();
+    m_pending.clear();
+}
+
+void ServiceDispatcher::tick(TimePoint now)
+{
+    if (now < m_slowTickDue)
+        return;
+    m_slowTickDue = now + slowTick;
+    for (auto& it : m_submissions) {
+        auto& waiters = it.second.waiters;
+        for (size_t i = 0; i < waiters.size();) {
+            if (waiters[i].due > now) {
+                ++i;
+                continue;
+            }
+            const ReplyHook reply = std::move(waiters[i].reply);
+            waiters.erase(waiters.begin() + static_cast<std::ptrdiff_t>(i));
+            reply(Reply { Reply::Kind::Pending, {}, {} });
+        }
+    }
+    std::vector<AgentId> lost;
+    for (const auto& it : m_upstreams)
+        if (it.second.isLost(now))
+            lost.push_back(it.first);
+    for (const auto& it : lost)
+        loseAgent(now, it, "the worker was lost");
+    retireLost(now);
+    finishCollecting(now);
+    hedge(now);
+    schedule(now);
+}
+
+} // namespace fescuegw::dispatch
--- /dev/null
+++ b/fescuegw/entry/EntryServer.h
@@ -0,0 +1,92 @@
+// The entry process: HTTP for callers and operators, the link to agents, other entries and the state group.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fescuegw/daemon/Daemon.h"
+#include "fescuegw/dispatch/Dispatcher.h"
+#include "fescuegw/entry/CallRouter.h"
+#include "fescuegw/entry/StateClient.h"
+#include "fescuegw/net/Hub.h"
+#include "fescuegw/trace/Trace.h"
+
+namespace fescuegw::entry {
+
+struct EntrySettings {
+    daemon::ProcessSettings process;
+    settings::Address listen;
+    // Where callers are served.
+    settings::Address callers;
+    uint32_t callerThreads = 0;
+    uint32_t callerConnections = 0;
+    std::string operatorToken;
+    // Addresses of the state group's replicas, by id.
+    std::map<uint64_t, settings::Address> replicas;
+    Duration balancerGrace {};
+    Duration drainLimit {};
+};
+
+// Reads the settings of fescuegw-entry; faults are kept by `document`.
+EntrySettings readEntrySettings(settings::Document& document);
+
+// HTTP threads parse and post; the link thread, which calls `run`, decides and sends.
+class EntryServer {
+public:
+    EntryServer(EntrySettings, daemon::Metrics&);
+
+    Result<void> start();
+    int run();
+    // Starts the graceful stop: not ready, services handed over, calls in flight answered.
+    void stop();
+
+private:
+    struct Gauges;
+
+    // Link thread.
+    void onMessage(TimePoint now, const net::Peer&, const std::string&);
+    void onUndeliverable(TimePoint now, const net::Peer&, const std::string&);
+    void onBatchEnd(TimePoint now);
+    void onForward(TimePoint now, const net::Peer&, const wire::ForwardRequest&);
+    void connectEntries(const wire::View&);
+    void sendEntry(const net::Peer&, const wire::EntryEnvelope&);
+    void updateMetrics(TimePoint now);
+    bool drained(TimePoint now);
+    wire::EntryInfo self() const;
+
+    // HTTP threads.
+    void handleCaller(http::Request, const http::Responder&);
+    void handleOperator(const http::Request&, const http::Responder&);
+    bool isOperator(const http::Request&) const;
+
+    // Operators' requests, on the link thread.
+    void applyQuestionnaire(TimePoint now, const wire::ApplyConfiguration&, const http::Responder&);
+    void answerStatus(TimePoint now, const http::Responder&);
+    void replaceReplica(TimePoint now, const wire::MembershipRequest&, const http::Responder&);
+    void answerTeam(const std::string& team, const http::Responder&);
+
+    EntrySettings m_settings;
+    std::string m_identity;
+    trace::Recorder m_recorder;
+    daemon::Metrics& m_metrics;
+    std::unique_ptr<net::Hub> m_hub;
+    std::unique_ptr<StateClient> m_state;
+    std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
+    std::unique_ptr<CallRouter> m_router;
+    std::unique_ptr<http::Server> m_callers;
+    std::unique_ptr<http::Server> m_administrative;
+    std::shared_ptr<Gauges> m_gauges;
+    std::map<std::string, std::string> m_entryLinks;
+    std::atomic<bool> m_ready { false };
+    bool m_draining = false;
+    bool m_quiesced = false;
+    TimePoint m_quiesceAt;
+    TimePoint m_drainUntil;
+    TimePoint m_metricsDue;
+};
+
+} // namespace fescuegw::entry
--- /dev/null
+++ b/fescuegw/http/Client.cpp
@@ -0,0 +1,96 @@
+#include "fescuegw/http/Client.h"
+
+#include <curl/curl.h>
+
+namespace fescuegw::http {
+
+namespace {
+
+    constexpr int statusUnreachable = 502;
+    constexpr std::string_view digestHeader = "x-content-digest:";
+
+    size_t onBody(char* data, size_t size, size_t count, void* user)
+    {
+        static_cast<ClientResponse*>(user)->body.append(data, size * count);
+        return size * count;
+    }
+
+    size_t onHeader(char* data, size_t size, size_t count, void* user)
+    {
+        std::string line(data, size * count);
+        for (char& c : line)
+            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        if (line.starts_with(digestHeader)) {
+            const size_t first = line.find_first_not_of(' ', digestHeader.size());
+            const size_t last = line.find_last_not_of("\r\n ");
+            static_cast<ClientResponse*>(user)->digest = line.substr(first, last - first + 1);
+        }
+        return size * count;
+    }
+
+    Verdict verdictOf(CURLcode code)
+    {
+        switch (code) {
+        case CURLE_COULDNT_CONNECT:
+        case CURLE_COULDNT_RESOLVE_HOST:
+        case CURLE_URL_MALFORMAT:
+        case CURLE_UNSUPPORTED_PROTOCOL:
+            return Verdict::NotRun;
+        default:
+            return Verdict::MayHaveRun;
+        }
+    }
+
+} // namespace
+
+struct Client::Impl {
+    CURL* handle = curl_easy_init();
+};
+
+Client::Client()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+Client::~Client() { curl_easy_cleanup(m_impl->handle); }
+
+Result<ClientResponse> Client::call(const ClientRequest& request)
+{
+    CURL* handle = m_impl->handle;
+    curl_easy_reset(handle);
+    ClientResponse response;
+    curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+    for (const auto& it : request.headers)
+        headers = curl_slist_append(headers, it.c_str());
+    curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    const auto timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout).count();
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeoutMs));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response);
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+    }
+    const CURLcode code = curl_easy_perform(handle);
+    curl_slist_free_all(headers);
+    if (code != CURLE_OK)
+        return tl::unexpected(Error { verdictOf(code), statusUnreachable, curl_easy_strerror(code) });
+    long status = 0;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+    response.status = static_cast<int>(status);
+    if (!response.digest.empty() && response.digest != contentDigest(response.body))
+        return tl::unexpected(Error { Verdict::MayHaveRun, statusUnreachable, "the answer does not match its digest" });
+    return response;
+}
+
+void initialiseClients() { curl_global_init(CURL_GLOBAL_ALL); }
+
+} // namespace fescuegw::http
--- /dev/null
+++ b/fescuegw/net/Hub.cpp
@@ -0,0 +1,305 @@
+#include "fescuegw/net/Hub.h"
+
+#include <array>
+#include <sstream>
+#include <thread>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq.hpp>
+
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::net {
+
+namespace {
+
+    constexpr size_t keyLength = 40;
+    constexpr size_t rawKeyLength = 32;
+    constexpr int highWaterMark = 100000;
+    constexpr int lingerMs = 500;
+    constexpr int reconnectMs = 50;
+    constexpr int reconnectMostMs = 500;
+    // Messages taken from one socket before the others are looked at.
+    constexpr int receiveBurst = 512;
+
+    // Answers libzmq's authentication requests (ZeroMQ RFC 27): only the installation's own key may connect.
+    class Authenticator {
+    public:
+        Authenticator(zmq::context_t& context, const std::string& publicKey)
+            : m_socket(context, zmq::socket_type::rep)
+        {
+            std::array<uint8_t, rawKeyLength> buf {};
+            zmq_z85_decode(buf.data(), publicKey.c_str());
+            m_allowed.assign(buf.begin(), buf.end());
+            m_socket.bind("inproc://zeromq.zap.01");
+            m_thread = std::thread([this] { serve(); });
+        }
+
+        void join() { m_thread.join(); }
+
+    private:
+        void serve()
+        {
+            try {
+                while (true) {
+                    const std::vector<std::string> request = receiveParts();
+                    reply(request);
+                }
+            } catch (const zmq::error_t&) {
+                // The context is being closed.
+                m_socket.close();
+            }
+        }
+
+        std::vector<std::string> receiveParts()
+        {
+            std::vector<std::string> parts;
+            zmq::message_t message;
+            do {
+                (void)m_socket.recv(message);
+                parts.push_back(message.to_string());
+            } while (message.more());
+            return parts;
+        }
+
+        void reply(const std::vector<std::string>& request)
+        {
+            constexpr size_t keyPart = 6;
+            const bool allowed = request.size() > keyPart && request[keyPart] == m_allowed;
+            const std::string id = request.size() > 1 ? request[1] : "";
+            const std::array<std::string, 6> parts { "1.0", id, allowed ? "200" : "400", allowed ? "OK" : "unknown key",
+                "installation", "" };
+            for (size_t i = 0; i < parts.size(); ++i)
+                m_socket.send(zmq::buffer(parts[i]), i + 1 < parts.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
+        }
+
+        zmq::socket_t m_socket;
+        std::string m_allowed;
+        std::thread m_thread;
+    };
+
+    void setCommonOptions(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::linger, lingerMs);
+        socket.set(zmq::sockopt::sndhwm, highWaterMark);
+        socket.set(zmq::sockopt::rcvhwm, highWaterMark);
+        socket.set(zmq::sockopt::reconnect_ivl, reconnectMs);
+        socket.set(zmq::sockopt::reconnect_ivl_max, reconnectMostMs);
+    }
+
+    std::string endpoint(const std::string& address) { return "tcp://" + address; }
+
+} // namespace
+
+KeyPair generateKeyPair()
+{
+    std::array<char, keyLength + 1> publicKey {};
+    std::array<char, keyLength + 1> secretKey {};
+    zmq_curve_keypair(publicKey.data(), secretKey.data());
+    return KeyPair { publicKey.data(), secretKey.data() };
+}
+
+Result<KeyPair> parseKeyPair(const std::string& text)
+{
+    std::istringstream stream(text);
+    KeyPair keys;
+    stream >> keys.publicKey >> keys.secretKey;
+    if (keys.publicKey.size() != keyLength || keys.secretKey.size() != keyLength)
+        return tl::unexpected(Error { Verdict::NotRun, 500, "allowed: two Z85 keys of 40 characters" });
+    return keys;
+}
+
+struct Hub::Sockets {
+    zmq::context_t context { 1 };
+    std::unique_ptr<Authenticator> authenticator;
+    std::unique_ptr<zmq::socket_t> router;
+    std::map<std::string, std::unique_ptr<zmq::socket_t>> dealers;
+};
+
+Hub::Hub(HubOptions options, HubHooks hooks)
+    : m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_sockets(std::make_unique<Sockets>())
+    , m_wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+}
+
+Hub::~Hub()
+{
+    m_sockets->dealers.clear();
+    m_sockets->router.reset();
+    m_sockets->context.shutdown();
+    if (m_sockets->authenticator)
+        m_sockets->authenticator->join();
+    m_sockets.reset();
+    close(m_wakeDescriptor);
+}
+
+Result<void> Hub::start()
+{
+    if (m_options.listen.empty())
+        return {};
+    try {
+        auto router = std::make_unique<zmq::socket_t>(m_sockets->context, zmq::socket_type::router);
+        setCommonOptions(*router);
+        router->set(zmq::sockopt::router_mandatory, true);
+        router->set(zmq::sockopt::router_handover, true);
+        if (!m_options.keys.secretKey.empty()) {
+            m_sockets->authenticator = std::make_unique<Authenticator>(m_sockets->context, m_options.keys.publicKey);
+            router->set(zmq::sockopt::curve_server, true);
+            router->set(zmq::sockopt::curve_secretkey, m_options.keys.secretKey);
+        }
+        router->bind(endpoint(m_options.listen));
+        m_sockets->router = std::move(router);
+    } catch (const zmq::error_t& error) {
+        return tl::unexpected(Error { Verdict::NotRun, 500, m_options.listen + ": " + error.what() });
+    }
+    return {};
+}
+
+void Hub::connect(const std::string& name, const std::string& address)
+{
+    auto dealer = std::make_unique<zmq::socket_t>(m_sockets->context, zmq::socket_type::dealer);
+    setCommonOptions(*dealer);
+    // Nothing is kept for a peer that is not there: what can't be handed over now is reported as undeliverable.
+    dealer->set(zmq::sockopt::immediate, true);
+    dealer->set(zmq::sockopt::routing_id, m_options.identity);
+    if (!m_options.keys.secretKey.empty()) {
+        dealer->set(zmq::sockopt::curve_serverkey, m_options.keys.publicKey);
+        dealer->set(zmq::sockopt::curve_publickey, m_options.keys.publicKey);
+        dealer->set(zmq::sockopt::curve_secretkey, m_options.keys.secretKey);
+    }
+    dealer->connect(endpoint(address));
+    m_sockets->dealers[name] = std::move(dealer);
+}
+
+void Hub::disconnect(const std::string& name) { m_sockets->dealers.erase(name); }
+
+bool Hub::isConnected(const std::string& name) const { return m_sockets->dealers.contains(name); }
+
+void Hub::send(const Peer& peer, std::string message)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_outgoing.push_back(Outgoing { peer, std::move(message) });
+    }
+    wake();
+}
+
+void Hub::post(std::function<void(TimePoint)> task)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+    }
+    wake();
+}
+
+void Hub::wake()
+{
+    if (m_wakeRequested.exchange(true))
+        return;
+    const uint64_t one = 1;
+    (void)!write(m_wakeDescriptor, &one, sizeof one);
+}
+
+void Hub::runTasks(TimePoint now)
+{
+    std::vector<std::function<void(TimePoint)>> tasks;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    for (const auto& it : tasks)
+        it(now);
+}
+
+void Hub::run()
+{
+    while (!m_stopped) {
+        std::vector<zmq::pollitem_t> items;
+        items.push_back({ nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0 });
+        if (m_sockets->router)
+            items.push_back({ m_sockets->router->handle(), 0, ZMQ_POLLIN, 0 });
+        for (const auto& it : m_sockets->dealers)
+            items.push_back({ it.second->handle(), 0, ZMQ_POLLIN, 0 });
+        zmq::poll(items, std::chrono::duration_cast<std::chrono::milliseconds>(m_options.tickInterval));
+        if (m_wakeRequested) {
+            uint64_t n = 0;
+            (void)!read(m_wakeDescriptor, &n, sizeof n);
+            m_wakeRequested = false;
+        }
+        receiveAll(monotonicNow());
+        runTasks(monotonicNow());
+        m_hooks.onBatchEnd(monotonicNow());
+        flush(monotonicNow());
+    }
+    flush(monotonicNow());
+}
+
+void Hub::stop()
+{
+    m_stopped = true;
+    wake();
+}
+
+void Hub::receiveAll(TimePoint now)
+{
+    zmq::message_t message;
+    if (m_sockets->router) {
+        for (int n = 0; n < receiveBurst && m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
+            const Peer peer { Peer::Direction::Accepted, message.to_string() };
+            if (!message.more() || !m_sockets->router->recv(message))
+                continue;
+            m_hooks.onMessage(now, peer, message.to_string());
+        }
+    }
+    std::vector<std::string> names;
+    for (const auto& it : m_sockets->dealers)
+        names.push_back(it.first);
+    for (const auto& name : names) {
+        for (int n = 0; n < receiveBurst; ++n) {
+            // A hook may have disconnected the peer.
+            const auto found = m_sockets->dealers.find(name);
+            if (found == m_sockets->dealers.end() || !found->second->recv(message, zmq::recv_flags::dontwait))
+                break;
+            m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
+        }
+    }
+}
+
+void Hub::flush(TimePoint now)
+{
+    std::vector<Outgoing> outgoing;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        outgoing.swap(m_outgoing);
+    }
+    for (const auto& it : outgoing)
+        if (!transmit(it))
+            m_hooks.onUndeliverable(now, it.peer, it.message);
+}
+
+bool Hub::transmit(const Outgoing& outgoing)
+{
+    try {
+        if (outgoing.peer.direction == Peer::Direction::Connected) {
+            const auto found = m_sockets->dealers.find(outgoing.peer.name);
+            if (found == m_sockets->dealers.end())
+                return false;
+            return found->second->send(zmq::buffer(outgoing.message), zmq::send_flags::dontwait).has_value();
+        }
+        if (!m_sockets->router)
+            return false;
+        const zmq::send_flags first = zmq::send_flags::sndmore | zmq::send_flags::dontwait;
+        if (!m_sockets->router->send(zmq::buffer(outgoing.peer.name), first))
+            return false;
+        return m_sockets->router->send(zmq::buffer(outgoing.message), zmq::send_flags::dontwait).has_value();
+    } catch (const zmq::error_t&) {
+        // EHOSTUNREACH: the peer is not connected, so no socket took the message.
+        return false;
+    }
+}
+
+} // namespace fescuegw::net
--- /dev/null
+++ b/fescuegw/questionnaire/Questionnaire.cpp
@@ -0,0 +1,134 @@
+#include "fescuegw/questionnaire/Questionnaire.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+#include <vector>
+
+#include "fescuegw/base/Types.h"
+#include "fescuegw/settings/Settings.h"
+
+namespace fescuegw::questionnaire {
+
+namespace {
+
+    constexpr const char* teamSection = "team";
+    constexpr std::string_view servicePrefix = "service ";
+    constexpr uint32_t milliPerCore = 1000;
+    constexpr uint64_t mostCores = 1024;
+    constexpr uint64_t mostMs = 3600ULL * 1000;
+    constexpr uint32_t leastQueue = 1000;
+    // Tasks that may wait for each millisecond that an answer may take.
+    constexpr uint32_t queuePerTargetMs = 4;
+
+    const std::vector<std::string> urgencies { "low", "normal", "high", "critical" };
+
+    struct Budgets {
+        uint32_t retry = 0;
+        uint32_t hedge = 0;
+    };
+
+    // Repeats that a tolerance allows, per 100 requests.
+    const std::map<std::string, Budgets> tolerances {
+        { "none", { 0, 0 } },
+        { "some", { 10, 2 } },
+        { "any", { 20, 5 } },
+    };
+
+    wire::ServiceConfiguration planService(settings::Document& answers, const std::string& section, const std::string& name)
+    {
+        wire::ServiceConfiguration service;
+        service.set_name(name);
+        if (!isValidName(name))
+            answers.reject(section, "urgency", "a section name of 'service' and a valid name");
+        const std::string urgency = answers.choiceOr(section, "urgency", urgencies, "normal");
+        const auto rank = std::find(urgencies.begin(), urgencies.end(), urgency) - urgencies.begin();
+        service.set_urgency(static_cast<uint32_t>(rank) + 1);
+        const std::string repeats = answers.choiceOr(section, "repeats", { "none", "some", "any" }, "none");
+        const Budgets& budgets = tolerances.at(repeats);
+        service.set_retry_budget_percent(budgets.retry);
+        service.set_hedge_budget_percent(budgets.hedge);
+        service.set_expected_run_ms(static_cast<uint32_t>(answers.numberOr(section, "run-time-ms", 300, 1, mostMs)));
+        service.set_target_ms(static_cast<uint32_t>(answers.numberOr(section, "late-after-ms", 30000, 1, mostMs)));
+        service.set_cores_milli(static_cast<uint32_t>(answers.numberOr(section, "cores", 1, 0, mostCores)) * milliPerCore);
+        service.set_memory_mb(static_cast<uint32_t>(answers.numberOr(section, "memory-mb", 0, 0)));
+        service.set_queue_limit(std::max(leastQueue, queuePerTargetMs * service.target_ms()));
+        // Who calls is kept in version control with the rest; nothing is derived from it yet.
+        answers.textOr(section, "callers", "");
+        return service;
+    }
+
+    using Lines = std::map<std::string, std::string>;
+
+    Lines linesOf(const wire::TeamConfiguration& configuration)
+    {
+        Lines lines;
+        lines["version"] = std::to_string(configuration.version());
+        lines["share"] = std::to_string(configuration.share());
+        lines["tasks_in_flight_limit"] = std::to_string(configuration.tasks_in_flight_limit());
+        for (const auto& it : configuration.services()) {
+            const std::string prefix = "service." + it.name() + ".";
+            lines[prefix + "urgency"] = std::to_string(it.urgency());
+            lines[prefix + "target_ms"] = std::to_string(it.target_ms());
+            lines[prefix + "expected_run_ms"] = std::to_string(it.expected_run_ms());
+            lines[prefix + "cores_milli"] = std::to_string(it.cores_milli());
+            lines[prefix + "memory_mb"] = std::to_string(it.memory_mb());
+            lines[prefix + "retry_budget_percent"] = std::to_string(it.retry_budget_percent());
+            lines[prefix + "hedge_budget_percent"] = std::to_string(it.hedge_budget_percent());
+            lines[prefix + "queue_limit"] = std::to_string(it.queue_limit());
+        }
+        return lines;
+    }
+
+} // namespace
+
+tl::expected<wire::TeamConfiguration, std::string> plan(const std::string& file, const std::string& text)
+{
+    auto answers = settings::Document::fromText(file, text);
+    if (!answers)
+        return tl::unexpected(answers.error());
+    wire::TeamConfiguration configuration;
+    configuration.set_team(answers->name(teamSection, "name"));
+    if (!answers->has(teamSection, "version"))
+        answers->reject(teamSection, "version", "a whole number from 1; the key is missing");
+    configuration.set_version(answers->numberOr(teamSection, "version", 1, 1));
+    configuration.set_share(static_cast<uint32_t>(answers->numberOr(teamSection, "share", 1, 1, 1000)));
+    configuration.set_tasks_in_flight_limit(static_cast<uint32_t>(answers->numberOr(teamSection, "tasks-in-flight", 100000, 1)));
+    for (const auto& section : answers->sections())
+        if (section.starts_with(servicePrefix))
+            *configuration.add_services() = planService(*answers, section, section.substr(servicePrefix.size()));
+    if (configuration.services().empty())
+        answers->reject(teamSection, "name", "at least one section [service NAME] beside the team");
+    const std::string fault = answers->finish();
+    if (!fault.empty())
+        return tl::unexpected(fault);
+    return configuration;
+}
+
+std::string difference(const wire::TeamConfiguration& before, const wire::TeamConfiguration& after)
+{
+    const Lines old = linesOf(before);
+    const Lines next = linesOf(after);
+    std::ostringstream out;
+    for (const auto& it : old)
+        if (!next.contains(it.first))
+            out << "- " << it.first << " = " << it.second << '\n';
+    for (const auto& it : next) {
+        const auto found = old.find(it.first);
+        if (found == old.end())
+            out << "+ " << it.first << " = " << it.second << '\n';
+        else if (found->second != it.second)
+            out << "~ " << it.first << " = " << found->second << " -> " << it.second << '\n';
+    }
+    return out.str();
+}
+
+std::string describe(const wire::TeamConfiguration& configuration)
+{
+    std::ostringstream out;
+    for (const auto& it : linesOf(configuration))
+        out << it.first << " = " << it.second << '\n';
+    return out.str();
+}
+
+} // namespace fescuegw::questionnaire
--- /dev/null
+++ b/fescuegw/relay/Relay.cpp
@@ -0,0 +1,178 @@
+#include "fescuegw/relay/Relay.h"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace fescuegw::relay {
+
+namespace {
+
+    constexpr size_t bufferSize = 64U << 10U;
+    constexpr int backlog = 512;
+    constexpr Duration pollMost = std::chrono::milliseconds(10);
+
+    sockaddr_in toSocketAddress(const settings::Address& address)
+    {
+        sockaddr_in result {};
+        result.sin_family = AF_INET;
+        result.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+        return result;
+    }
+
+    void prepare(int descriptor)
+    {
+        const int on = 1;
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        fcntl(descriptor, F_SETFL, O_NONBLOCK);
+    }
+
+} // namespace
+
+Relay::Relay(settings::Address listen, settings::Address target, Duration delay)
+    : m_listen(std::move(listen))
+    , m_target(std::move(target))
+    , m_delay(delay)
+{
+}
+
+Relay::~Relay()
+{
+    m_finished = true;
+    if (m_thread.joinable())
+        m_thread.join();
+    for (const auto& it : m_connections) {
+        close(it.near);
+        close(it.far);
+    }
+    if (m_listener >= 0)
+        close(m_listener);
+}
+
+Result<void> Relay::start()
+{
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in address = toSocketAddress(m_listen);
+    if (bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(m_listener, backlog) != 0)
+        return tl::unexpected(Error { Verdict::NotRun, 500, m_listen.text() + ": can't listen" });
+    fcntl(m_listener, F_SETFL, O_NONBLOCK);
+    m_thread = std::thread([this] { serve(); });
+    return {};
+}
+
+void Relay::acceptOne()
+{
+    const int near = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (near < 0)
+        return;
+    const int far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = toSocketAddress(m_target);
+    if (connect(far, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        close(near);
+        close(far);
+        return;
+    }
+    prepare(near);
+    prepare(far);
+    Connection& added = m_connections.emplace_back();
+    added.near = near;
+    added.far = far;
+}
+
+void Relay::readFrom(TimePoint now, int descriptor, Direction& direction) const
+{
+    std::array<char, bufferSize> buf {};
+    while (!direction.readEnded) {
+        const ssize_t n = read(descriptor, buf.data(), buf.size());
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            return;
+        direction.readEnded = n <= 0;
+        direction.chunks.push_back(Chunk { now + m_delay, std::string(buf.data(), n > 0 ? static_cast<size_t>(n) : 0), n <= 0 });
+    }
+}
+
+void Relay::writeTo(TimePoint now, int descriptor, Direction& direction, bool& closed)
+{
+    while (!direction.chunks.empty() && direction.chunks.front().due <= now) {
+        Chunk& chunk = direction.chunks.front();
+        if (chunk.end) {
+            shutdown(descriptor, SHUT_WR);
+            direction.chunks.pop_front();
+            continue;
+        }
+        const ssize_t n = send(descriptor, chunk.data.data(), chunk.data.size(), MSG_NOSIGNAL);
+        if (n < 0) {
+            closed = errno != EAGAIN && errno != EINTR;
+            return;
+        }
+        chunk.data.erase(0, static_cast<size_t>(n));
+        if (chunk.data.empty())
+            direction.chunks.pop_front();
+    }
+}
+
+void Relay::serve()
+{
+    while (!m_finished) {
+        const TimePoint before = monotonicNow();
+        TimePoint next = before + pollMost;
+        std::vector<pollfd> items { { m_listener, POLLIN, 0 } };
+        for (const auto& it : m_connections) {
+            items.push_back({ it.outward.readEnded ? -1 : it.near, POLLIN, 0 });
+            items.push_back({ it.inward.readEnded ? -1 : it.far, POLLIN, 0 });
+            for (const Direction* direction : { &it.outward, &it.inward })
+                if (!direction->chunks.empty())
+                    next = std::min(next, direction->chunks.front().due);
+        }
+        const auto wait = std::max(next - before, Duration(0));
+        const timespec timeout { 0, static_cast<long>(wait.count()) * 1000 };
+        if (m_cut) {
+            std::this_thread::sleep_for(pollMost);
+            continue;
+        }
+        ppoll(items.data(), items.size(), &timeout, nullptr);
+        const TimePoint now = monotonicNow();
+        for (auto& it : m_connections) {
+            readFrom(now, it.near, it.outward);
+            readFrom(now, it.far, it.inward);
+            writeTo(now, it.far, it.outward, it.closed);
+            writeTo(now, it.near, it.inward, it.closed);
+            const bool outwardDone = it.outward.readEnded && it.outward.chunks.empty();
+            const bool inwardDone = it.inward.readEnded && it.inward.chunks.empty();
+            it.closed = it.closed || (outwardDone && inwardDone) || m_reset;
+        }
+        m_reset = false;
+        std::erase_if(m_connections, [](const Connection& it) {
+            if (!it.closed)
+                return false;
+            close(it.near);
+            close(it.far);
+            return true;
+        });
+        acceptOne();
+    }
+}
+
+uint16_t freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = toSocketAddress({ "127.0.0.1", 0 });
+    socklen_t size = sizeof address;
+    bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+} // namespace fescuegw::relay
--- /dev/null
+++ b/fescuegw/relay/Relay.h
@@ -0,0 +1,69 @@
+// A TCP forwarder with a one-way delay that can be cut: the network between two processes, for tests and experiments.
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <list>
+#include <string>
+#include <thread>
+
+#include "fescuegw/base/Types.h"
+#include "fescuegw/settings/Settings.h"
+
+namespace fescuegw::relay {
+
+// Forwards every connection to `listen` on to `target`, each byte `delay` later. While cut it neither forwards nor closes, as
+// a silent partition does. Thread-safe.
+class Relay {
+public:
+    Relay(settings::Address listen, settings::Address target, Duration delay);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+    Relay(Relay&&) = delete;
+    Relay& operator=(Relay&&) = delete;
+
+    Result<void> start();
+    void setCut(bool cut) { m_cut = cut; }
+
+    // Closes all connections, as a restarted switch does.
+    void reset() { m_reset = true; }
+
+private:
+    struct Chunk {
+        TimePoint due;
+        std::string data;
+        bool end = false;
+    };
+    struct Direction {
+        std::deque<Chunk> chunks;
+        bool readEnded = false;
+    };
+    struct Connection {
+        int near = -1;
+        int far = -1;
+        Direction outward;
+        Direction inward;
+        bool closed = false;
+    };
+
+    void serve();
+    void acceptOne();
+    void readFrom(TimePoint now, int descriptor, Direction&) const;
+    static void writeTo(TimePoint now, int descriptor, Direction&, bool& closed);
+
+    settings::Address m_listen;
+    settings::Address m_target;
+    Duration m_delay;
+    std::atomic<bool> m_cut { false };
+    std::atomic<bool> m_reset { false };
+    std::atomic<bool> m_finished { false };
+    int m_listener = -1;
+    std::list<Connection> m_connections;
+    std::thread m_thread;
+};
+
+// Returns a TCP port of the loopback interface that was free a moment ago.
+uint16_t freePort();
+
+} // namespace fescuegw::relay
--- /dev/null
+++ b/fescuegw/scenario/Host.cpp
@@ -0,0 +1,149 @@
+#include "fescuegw/scenario/Host.h"
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace fescuegw::scenario {
+
+namespace {
+
+    constexpr int stillRunning = -1000;
+    constexpr int exitNotExecuted = 127;
+    constexpr int fileMode = 0600;
+    constexpr Duration pollInterval = std::chrono::milliseconds(5);
+
+    int startProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& output)
+    {
+        std::vector<char*> argv { const_cast<char*>(program.c_str()) };
+        for (const auto& it : arguments)
+            argv.push_back(const_cast<char*>(it.c_str()));
+        argv.push_back(nullptr);
+        const int pid = fork();
+        if (pid != 0)
+            return pid;
+        // A scenario that is killed takes its processes with it.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const int file = open(output.c_str(), O_CREAT | O_WRONLY | O_APPEND, fileMode);
+        dup2(file, STDOUT_FILENO);
+        dup2(file, STDERR_FILENO);
+        execv(program.c_str(), argv.data());
+        _exit(exitNotExecuted);
+    }
+
+} // namespace
+
+Host::Host(std::string programs, std::string folder)
+    : m_programs(std::move(programs))
+    , m_folder(std::move(folder))
+{
+}
+
+Host::~Host()
+{
+    for (auto& it : m_processes) {
+        reap(it.second);
+        if (it.second.ended)
+            continue;
+        kill(it.second.pid, SIGKILL);
+        waitpid(it.second.pid, nullptr, 0);
+    }
+    for (const auto& it : m_calls)
+        if (it->thread.joinable())
+            it->thread.join();
+}
+
+void Host::spawn(const std::string& name, const std::string& program, const std::vector<std::string>& arguments)
+{
+    const int pid = startProcess(m_programs + "/" + program, arguments, m_folder + "/" + name + ".out");
+    if (pid < 0)
+        throw std::runtime_error("can't start " + program);
+    m_processes[name] = Process { pid, false, 0 };
+}
+
+void Host::signal(const std::string& name, int number)
+{
+    const Process& process = m_processes.at(name);
+    if (!process.ended)
+        kill(process.pid, number);
+}
+
+void Host::reap(Process& process)
+{
+    int state = 0;
+    if (process.ended || waitpid(process.pid, &state, WNOHANG) != process.pid)
+        return;
+    process.ended = true;
+    process.code = WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
+}
+
+int Host::wait(const std::string& name, Duration timeout)
+{
+    Process& process = m_processes.at(name);
+    const TimePoint end = monotonicNow() + timeout;
+    do {
+        reap(process);
+        if (process.ended)
+            return process.code;
+        std::this_thread::sleep_for(pollInterval);
+    } while (monotonicNow() < end);
+    return stillRunning;
+}
+
+bool Host::alive(const std::string& name)
+{
+    Process& process = m_processes.at(name);
+    reap(process);
+    return !process.ended;
+}
+
+std::pair<int, std::string> Host::run(const std::string& program, const std::vector<std::string>& arguments)
+{
+    const std::string output = m_folder + "/run.out";
+    unlink(output.c_str());
+    const int pid = startProcess(m_programs + "/" + program, arguments, output);
+    int state = 0;
+    waitpid(pid, &state, 0);
+    std::ifstream stream(output);
+    std::ostringstream content;
+    content << stream.rdbuf();
+    return { WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state), content.str() };
+}
+
+size_t Host::startCall(http::ClientRequest request)
+{
+    m_calls.push_back(std::make_unique<Call>());
+    Call* call = m_calls.back().get();
+    call->thread = std::thread([call, request = std::move(request)] {
+        http::Client client;
+        call->response = client.call(request);
+    });
+    return m_calls.size() - 1;
+}
+
+Result<http::ClientResponse> Host::finishCall(size_t handle)
+{
+    Call& call = *m_calls.at(handle);
+    if (call.thread.joinable())
+        call.thread.join();
+    return call.response;
+}
+
+void Host::link(const std::string& name, const settings::Address& listen, const settings::Address& target, Duration delay)
+{
+    auto added = std::make_unique<relay::Relay>(listen, target, delay);
+    if (auto started = added->start(); !started)
+        throw std::runtime_error(started.error().detail);
+    m_links[name] = std::move(added);
+}
+
+relay::Relay& Host::findLink(const std::string& name) { return *m_links.at(name); }
+
+} // namespace fescuegw::scenario
--- /dev/null
+++ b/fescuegw/state/StateServer.cpp
@@ -0,0 +1,369 @@
+#include "fescuegw/state/StateServer.h"
+
+#include <charconv>
+
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::state {
+
+using logging::Event;
+using logging::Level;
+
+namespace {
+
+    constexpr Duration policyInterval = std::chrono::milliseconds(50);
+    constexpr uint64_t mostReplicas = 7;
+
+    std::string replicaName(uint64_t id) { return "replica-" + std::to_string(id); }
+
+    Duration milliseconds(uint64_t n) { return std::chrono::milliseconds(n); }
+
+} // namespace
+
+StateSettings readStateSettings(settings::Document& document)
+{
+    StateSettings settings;
+    settings.process = daemon::readProcessSettings(document);
+    if (!document.has("replica", "id"))
+        document.reject("replica", "id", "a whole number from 1; the key is missing");
+    settings.id = document.numberOr("replica", "id", 1, 1);
+    settings.listen = document.address("replica", "listen");
+    settings.data = document.text("replica", "data");
+    settings.join = document.flagOr("replica", "join", false);
+    settings.electionTimeout = milliseconds(document.numberOr("replica", "election-timeout-ms", 1000, 100, 60000));
+    settings.entryLease = milliseconds(document.numberOr("replica", "entry-lease-ms", 1500, 200, 60000));
+    settings.snapshotInterval = document.numberOr("replica", "snapshot-entries", 10000, 10);
+    for (const auto& key : document.keys("group")) {
+        uint64_t id = 0;
+        const auto parsed = std::from_chars(key.data(), key.data() + key.size(), id);
+        if (parsed.ec != std::errc() || id == 0)
+            document.reject("group", key, "replica ids from 1 as keys");
+        settings.members[id] = document.address("group", key);
+    }
+    if (settings.members.empty() || settings.members.size() > mostReplicas)
+        document.reject("group", "1", "1 to 7 members");
+    if (!settings.join && !settings.members.contains(settings.id))
+        document.reject("replica", "id", "an id of section [group], or join = yes");
+    return settings;
+}
+
+StateServer::StateServer(StateSettings settings, daemon::Metrics& metrics)
+    : m_settings(std::move(settings))
+    , m_store(m_settings.data, storage::systemDisk())
+    , m_policy(m_settings.entryLease)
+    , m_random(randomIdentity())
+    , m_syncs(metrics.counter("fescuegw_state_syncs_total", "Synced writes of the log"))
+    , m_commands(metrics.counter("fescuegw_state_commands_total", "Commands applied"))
+    , m_leading(metrics.gauge("fescuegw_state_leading", "1 while this replica leads"))
+    , m_commitIndex(metrics.gauge("fescuegw_state_commit_index", "Index of the last committed entry"))
+    , m_term(metrics.gauge("fescuegw_state_term", "Current term"))
+{
+}
+
+Result<void> StateServer::start()
+{
+    auto recovered = m_store.open(m_settings.id);
+    if (!recovered)
+        return tl::unexpected(recovered.error());
+    if (recovered->tornBytes > 0)
+        Event(Level::Warn, "log_end_cut").with("bytes", recovered->tornBytes);
+    net::HubHooks hooks;
+    hooks.onMessage = [this](TimePoint now, const net::Peer& peer, const std::string& m) { onMessage(now, peer, m); };
+    // Lost raft messages are repeated by the protocol; lost answers by whoever asked.
+    hooks.onUndeliverable = [](TimePoint, const net::Peer&, const std::string&) {};
+    hooks.onBatchEnd = [this](TimePoint now) { onBatchEnd(now); };
+    net::HubOptions hubOptions;
+    hubOptions.identity = replicaName(m_settings.id);
+    hubOptions.listen = m_settings.listen.text();
+    hubOptions.keys = m_settings.process.keys;
+    m_hub = std::make_unique<net::Hub>(hubOptions, hooks);
+    if (auto started = m_hub->start(); !started)
+        return started;
+
+    raft::ReplicaOptions options;
+    options.id = m_settings.id;
+    options.identity = recovered->identity.identity();
+    options.electionTimeout = m_settings.electionTimeout;
+    options.heartbeatInterval = m_settings.electionTimeout / 6;
+    options.clockMargin = m_settings.electionTimeout / 5;
+    options.snapshotInterval = m_settings.snapshotInterval;
+    raft::DurableState state;
+    state.hardState = recovered->hardState;
+    state.snapshot = recovered->snapshot;
+    state.entries = recovered->entries;
+    for (const auto& it : m_settings.members) {
+        if (it.first != m_settings.id)
+            m_hub->connect(replicaName(it.first), it.second.text());
+        if (m_settings.join)
+            continue;
+        wire::Member* member = state.initialMembership.add_members();
+        member->set_id(it.first);
+        member->set_address(it.second.text());
+        member->set_voter(true);
+    }
+    const size_t n = state.entries.size();
+    m_replica = std::make_unique<raft::Replica>(options, std::move(state), replicaHooks(), monotonicNow());
+    Event(Level::Info, "replica_started").with("id", m_settings.id).with("entries", n).with("term", m_replica->term());
+    return {};
+}
+
+raft::ReplicaHooks StateServer::replicaHooks()
+{
+    raft::ReplicaHooks hooks;
+    hooks.send = [this](const wire::RaftMessage& m) {
+        wire::StateEnvelope envelope;
+        *envelope.mutable_raft() = m;
+        m_hub->send({ net::Peer::Direction::Connected, replicaName(m.to()) }, envelope.SerializeAsString());
+    };
+    hooks.saveHardState = [this](const wire::HardState& it) { m_store.stage(it); };
+    hooks.saveEntry = [this](const wire::LogEntry& it) { m_store.stage(it); };
+    hooks.saveSnapshot
+        = [this](const wire::Snapshot& snapshot, const wire::HardState& hardState, const std::vector<wire::LogEntry>& entries) {
+              Event(Level::Info, "snapshot_saved").with("index", snapshot.index()).with("bytes", snapshot.state().size());
+              check(m_store.compact(snapshot, hardState, entries));
+          };
+    hooks.apply = [this](const wire::LogEntry& it) { applyEntry(it); };
+    hooks.restore = [this](const std::string& state) { m_registry.restore(state); };
+    hooks.captureState = [this] { return m_registry.capture(); };
+    hooks.random = [this](uint64_t bound) { return m_random() % bound; };
+    return hooks;
+}
+
+void StateServer::check(const Result<void>& written)
+{
+    if (written || m_failed)
+        return;
+    // What reached the disk is unknown, so nothing may be promised any more.
+    m_failed = true;
+    Event(Level::Error, "disk_failed").with("detail", written.error().detail);
+    m_hub->stop();
+}
+
+int StateServer::run()
+{
+    m_hub->run();
+    return m_failed ? daemon::exitFailure : 0;
+}
+
+void StateServer::stop() { m_hub->stop(); }
+
+void StateServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
+{
+    wire::StateEnvelope envelope;
+    if (!envelope.ParseFromString(content)) {
+        Event(Level::Warn, "malformed_message").with("peer", peer.name);
+        return;
+    }
+    if (envelope.has_raft())
+        m_replica->receive(now, envelope.raft());
+    else if (envelope.has_request())
+        onRequest(now, peer, envelope.request());
+}
+
+void StateServer::onBatchEnd(TimePoint now)
+{
+    connectMembers();
+    decideOwnership(now);
+    proposeBatch(now);
+    m_replica->tick(now);
+    // Entries travel to the followers while the own disk syncs.
+    m_hub->flush(now);
+    if (m_store.hasStaged()) {
+        check(m_store.sync());
+        m_syncs.Increment();
+    }
+    if (m_failed)
+        return;
+    m_replica->synced(monotonicNow());
+    if (m_replica->role() != raft::Role::Leader)
+        abandonProposals();
+    updateMetrics(now);
+}
+
+void StateServer::updateMetrics(TimePoint now)
+{
+    const bool leads = m_replica->hasLease(now);
+    m_ready = leads || m_replica->leader() != 0;
+    m_leading.Set(leads ? 1 : 0);
+    m_commitIndex.Set(static_cast<double>(m_replica->commitIndex()));
+    m_term.Set(static_cast<double>(m_replica->term()));
+}
+
+void StateServer::connectMembers()
+{
+    for (const auto& it : m_replica->membership().members()) {
+        if (it.id() == m_settings.id || m_hub->isConnected(replicaName(it.id())))
+            continue;
+        m_hub->connect(replicaName(it.id()), it.address());
+    }
+}
+
+void StateServer::decideOwnership(TimePoint now)
+{
+    if (!m_replica->hasLease(now) || now < m_policyDue)
+        return;
+    m_policyDue = now + policyInterval;
+    if (m_ledTerm != m_replica->term()) {
+        m_ledTerm = m_replica->term();
+        m_policy.startTerm(now, m_ledTerm);
+        Event(Level::Info, "leading").with("term", m_ledTerm);
+    }
+    for (const auto& it : m_policy.assignments(now, m_registry)) {
+        Event(Level::Info, "service_assigned").with("service", it.service()).with("owner", it.owner()).with("epoch", it.epoch());
+        *m_batch.add_commands()->mutable_assign() = it;
+    }
+}
+
+void StateServer::reply(const net::Peer& peer, const wire::StateReply& reply)
+{
+    wire::StateEnvelope envelope;
+    *envelope.mutable_reply() = reply;
+    m_hub->send(peer, envelope.SerializeAsString());
+}
+
+void StateServer::refuse(const net::Peer& peer, uint64_t requestId)
+{
+    wire::StateReply refusal;
+    refusal.set_request_id(requestId);
+    refusal.set_not_leader(true);
+    refusal.set_leader(m_replica->leader());
+    reply(peer, refusal);
+}
+
+void StateServer::onRequest(TimePoint now, const net::Peer& peer, const wire::StateRequest& request)
+{
+    if (!m_replica->hasLease(now)) {
+        refuse(peer, request.request_id());
+        return;
+    }
+    if (request.has_propose())
+        onPropose(peer, request.request_id(), request.propose());
+    else
+        answer(now, peer, request);
+}
+
+void StateServer::answer(TimePoint now, const net::Peer& peer, const wire::StateRequest& request)
+{
+    wire::StateReply answer;
+    answer.set_request_id(request.request_id());
+    if (request.has_heartbeat()) {
+        *answer.mutable_heartbeat() = heartbeat(now, request.heartbeat());
+    } else if (request.has_open_claims()) {
+        const auto owned = m_registry.ownerships().find(request.open_claims().service());
+        const bool current = owned != m_registry.ownerships().end() && owned->second.epoch() == request.open_claims().epoch();
+        answer.mutable_open_claims()->set_current(current);
+        if (current)
+            for (const auto& it : m_registry.openClaims(request.open_claims().service()))
+                *answer.mutable_open_claims()->add_claims() = it;
+    } else if (request.has_lookup()) {
+        const wire::StoredClaim* claim = m_registry.find({ request.lookup().team(), request.lookup().id() });
+        answer.mutable_lookup()->set_found(claim != nullptr);
+        if (claim != nullptr)
+            *answer.mutable_lookup()->mutable_claim() = *claim;
+    } else if (request.has_membership()) {
+        const wire::MembershipRequest& change = request.membership();
+        const std::string refusal = m_replica->changeMembership(now, change.add(), change.remove_id());
+        answer.mutable_membership()->set_accepted(refusal.empty());
+        answer.mutable_membership()->set_reason(refusal);
+    } else if (request.has_group_status()) {
+        *answer.mutable_group_status() = groupStatus(now);
+    }
+    reply(peer, answer);
+}
+
+wire::HeartbeatReply StateServer::heartbeat(TimePoint now, const wire::EntryHeartbeat& heartbeat)
+{
+    m_policy.onHeartbeat(now, heartbeat);
+    wire::HeartbeatReply reply;
+    const uint64_t entriesRevision = m_policy.entriesRevision(now);
+    if (heartbeat.known_revision() == m_registry.revision() && heartbeat.known_entries_revision() == entriesRevision)
+        return reply;
+    wire::View& view = *reply.mutable_view();
+    view = m_registry.view();
+    view.set_entries_revision(entriesRevision);
+    for (const auto& it : m_policy.entries(now))
+        *view.add_entries() = it;
+    return reply;
+}
+
+wire::GroupStatusReply StateServer::groupStatus(TimePoint now) const
+{
+    wire::GroupStatusReply status;
+    status.set_leader(m_settings.id);
+    status.set_term(m_replica->term());
+    status.set_commit_index(m_replica->commitIndex());
+    for (const auto& it : m_replica->membership().members()) {
+        wire::ReplicaStatus* replica = status.add_replicas();
+        replica->set_id(it.id());
+        replica->set_address(it.address());
+        replica->set_voter(it.voter());
+        replica->set_match_index(m_replica->matchIndex(it.id()));
+    }
+    for (const auto& it : m_policy.heartbeats(now))
+        *status.add_entries() = it;
+    return status;
+}
+
+void StateServer::onPropose(const net::Peer& peer, uint64_t requestId, const wire::ProposeRequest& request)
+{
+    m_batchWaiting.push_back(
+        Waiting { peer, requestId, static_cast<size_t>(m_batch.commands_size()), static_cast<size_t>(request.commands_size()) });
+    for (const auto& it : request.commands())
+        *m_batch.add_commands() = it;
+}
+
+void StateServer::proposeBatch(TimePoint now)
+{
+    if (m_batch.commands().empty())
+        return;
+    m_batch.set_time_ms(wallClockMs());
+    const auto index = m_replica->propose(now, m_batch.SerializeAsString());
+    m_batch.Clear();
+    std::vector<Waiting> waiting;
+    waiting.swap(m_batchWaiting);
+    if (index) {
+        m_proposals[*index] = Proposal { m_replica->term(), std::move(waiting) };
+        return;
+    }
+    for (const auto& it : waiting)
+        refuse(it.peer, it.requestId);
+}
+
+void StateServer::applyEntry(const wire::LogEntry& entry)
+{
+    if (entry.command().empty())
+        return;
+    wire::CommandBatch batch;
+    if (!batch.ParseFromString(entry.command())) {
+        Event(Level::Error, "malformed_entry").with("index", entry.index());
+        return;
+    }
+    const std::vector<wire::CommandResult> results = m_registry.apply(batch);
+    m_commands.Increment(static_cast<double>(results.size()));
+    const auto found = m_proposals.find(entry.index());
+    if (found == m_proposals.end())
+        return;
+    for (const auto& it : found->second.waiting) {
+        if (found->second.term != entry.term()) {
+            refuse(it.peer, it.requestId);
+            continue;
+        }
+        wire::StateReply answer;
+        answer.set_request_id(it.requestId);
+        wire::ProposeReply* proposed = answer.mutable_propose();
+        for (size_t i = 0; i < it.resultCount; ++i)
+            *proposed->add_results() = results[it.firstResult + i];
+        reply(it.peer, answer);
+    }
+    m_proposals.erase(found);
+}
+
+void StateServer::abandonProposals()
+{
+    for (const auto& proposal : m_proposals)
+        for (const auto& it : proposal.second.waiting)
+            refuse(it.peer, it.requestId);
+    m_proposals.clear();
+}
+
+} // namespace fescuegw::state
