--- a/fescuegw/agent/AgentServer.cpp
+++ b/fescuegw/agent/AgentServer.cpp
@@ -1,5 +1,7 @@
 #include "fescuegw/agent/AgentServer.h"
 
+#include <charconv>
+
 #include <nlohmann/json.hpp>
 
 #include "fescuegw/logging/Log.h"
@@ -18,7 +20,23 @@
 
     Duration milliseconds(uint64_t n) { return std::chrono::milliseconds(n); }
 
-    Result<Announcement> parseAnnouncement(const std::string& body, uint64_t incarnation)
+    // Tasks are named "team/submission/index", as in the paths under which they were started.
+    UpstreamTask parseUpstreamTask(const nlohmann::json& json)
+    {
+        const auto task = json.at("task").get<std::string>();
+        const auto incarnation = json.at("incarnation").get<std::string>();
+        const size_t first = task.find('/');
+        const size_t last = task.rfind('/');
+        UpstreamTask result;
+        if (first != std::string::npos && last > first) {
+            result.task.submission = { task.substr(0, first), task.substr(first + 1, last - first - 1) };
+            std::from_chars(task.data() + last + 1, task.data() + task.size(), result.task.index);
+        }
+        std::from_chars(incarnation.data(), incarnation.data() + incarnation.size(), result.incarnation);
+        return result;
+    }
+
+    Result<Announcement> parseAnnouncement(const std::string& body)
     {
         const auto invalid = [](const std::string& what) {
             return tl::unexpected(Error { Verdict::NotRun, statusBadRequest, what });
@@ -41,7 +59,7 @@
             if (announcement.slots == 0 || announcement.slots > mostSlots)
                 return invalid("slots: 1 to " + std::to_string(mostSlots));
             for (const auto& it : json.value("running", nlohmann::json::array()))
-                announcement.foreignRunning += it.at("incarnation").get<std::string>() != std::to_string(incarnation) ? 1 : 0;
+                announcement.running.push_back(parseUpstreamTask(it));
             return announcement;
         } catch (const nlohmann::json::exception& error) {
             return invalid(error.what());
@@ -140,7 +158,7 @@
         respond(http::problem({ Verdict::NotRun, 404, "unknown path; upstreams announce themselves by PUT /v1/upstream" }));
         return;
     }
-    const auto announcement = parseAnnouncement(request.body, m_incarnation);
+    const auto announcement = parseAnnouncement(request.body);
     if (!announcement) {
         respond(http::problem(announcement.error()));
         return;
@@ -158,7 +176,11 @@
             .with("instance", announcement.instance)
             .with("slots", announcement.slots)
             .with("leaving", announcement.leaving ? 1 : 0);
-    const bool changed = !m_present || announcement != m_announcement;
+    const uint32_t foreignBefore = m_table.foreignRunning();
+    m_table.onUpstreamTasks(announcement.running);
+    const bool changed = !m_present || announcement.instance != m_announcement.instance
+        || announcement.leaving != m_announcement.leaving || announcement.slots != m_announcement.slots
+        || m_table.foreignRunning() != foreignBefore;
     m_announcement = announcement;
     m_announced = now;
     m_present = true;
@@ -202,7 +224,7 @@
     report.set_service(m_announcement.service);
     report.set_state(upstreamState(now));
     report.set_slots(m_announcement.slots);
-    report.set_foreign_running(m_announcement.foreignRunning);
+    report.set_foreign_running(m_table.foreignRunning());
     report.set_cores_milli(m_announcement.coresMilli);
     report.set_memory_mb(m_announcement.memoryMb);
     report.set_clock_us(toMicros(now));
@@ -233,7 +255,7 @@
     const wire::EntryToAgent& message = envelope.to_agent();
     Capacity capacity { m_announcement.service, m_announcement.slots, upstreamState(now) == wire::SERVING };
     const uint64_t epochBefore = m_table.epoch();
-    Decision decision = m_table.decide(toMicros(now), message, capacity, m_announcement.foreignRunning);
+    Decision decision = m_table.decide(toMicros(now), message, capacity);
     if (!decision.ignored) {
         m_configurationVersion = std::max(m_configurationVersion, message.configuration_version());
         if (m_owner != peer.name || epochBefore != m_table.epoch())
--- a/fescuegw/agent/AgentServer.h
+++ b/fescuegw/agent/AgentServer.h
@@ -42,8 +42,7 @@
     uint32_t slots = 0;
     uint32_t coresMilli = 0;
     uint32_t memoryMb = 0;
-    // Running tasks that another incarnation of the agent started.
-    uint32_t foreignRunning = 0;
+    std::vector<UpstreamTask> running;
 
     friend bool operator==(const Announcement&, const Announcement&) = default;
 };
--- a/fescuegw/agent/TaskTable.cpp
+++ b/fescuegw/agent/TaskTable.cpp
@@ -61,19 +61,32 @@
     return true;
 }
 
-std::string TaskTable::refusalReason(uint64_t clockUs, const wire::TaskDispatch& task, const wire::EntryToAgent& message,
-    const Capacity& capacity, uint32_t foreign) const
+std::string TaskTable::refusalReason(
+    uint64_t clockUs, const wire::TaskDispatch& task, const wire::EntryToAgent& message, const Capacity& capacity) const
 {
     if (!capacity.serving || capacity.service != message.service())
         return "the upstream is leaving or absent";
     if (clockUs > task.start_by_us())
         return "the latest start has passed";
-    if (m_running + foreign >= capacity.slots)
+    if (m_running + foreignRunning() >= capacity.slots)
         return "no free slot";
     return "";
 }
 
-Decision TaskTable::decide(uint64_t clockUs, const wire::EntryToAgent& message, const Capacity& capacity, uint32_t foreignRunning)
+void TaskTable::onUpstreamTasks(const std::vector<UpstreamTask>& tasks)
+{
+    m_foreign = 0;
+    std::set<TaskId> stillRunning;
+    for (const auto& it : tasks) {
+        if (it.incarnation != m_incarnation)
+            ++m_foreign;
+        else if (m_uncertain.contains(it.task))
+            stillRunning.insert(it.task);
+    }
+    m_uncertain = stillRunning;
+}
+
+Decision TaskTable::decide(uint64_t clockUs, const wire::EntryToAgent& message, const Capacity& capacity)
 {
     Decision decision;
     decision.ignored = !fence(message);
@@ -100,7 +113,7 @@
             decision.refusals.push_back(doubled);
             continue;
         }
-        const std::string reason = refusalReason(clockUs, task, message, capacity, foreignRunning);
+        const std::string reason = refusalReason(clockUs, task, message, capacity);
         if (!reason.empty()) {
             decision.refusals.push_back(resultFor(task, message.epoch()));
             decision.refusals.back().set_reason(reason);
@@ -126,6 +139,8 @@
     if (it == m_tasks.end())
         return {};
     Started& started = it->second;
+    if (!succeeded && verdict == Verdict::MayHaveRun)
+        m_uncertain.insert(id);
     started.running = false;
     --m_running;
     started.result.set_succeeded(succeeded);
--- a/fescuegw/agent/TaskTable.h
+++ b/fescuegw/agent/TaskTable.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,14 @@
     friend auto operator<=>(const TaskId&, const TaskId&) = default;
 };
 
+// A task that the upstream says it runs, and the agent incarnation that started it.
+struct UpstreamTask {
+    TaskId task;
+    uint64_t incarnation = 0;
+
+    friend bool operator==(const UpstreamTask&, const UpstreamTask&) = default;
+};
+
 // What the agent decides on one message of an owner.
 struct Decision {
     std::vector<wire::TaskDispatch> starts;
@@ -46,9 +55,15 @@
 public:
     explicit TaskTable(uint64_t incarnation);
 
-    // Decides on a message and records what it starts. `clockUs` is the agent's own clock, `foreignRunning` the slots held by
-    // work of earlier incarnations.
-    Decision decide(uint64_t clockUs, const wire::EntryToAgent&, const Capacity&, uint32_t foreignRunning);
+    // Decides on a message and records what it starts. `clockUs` is the agent's own clock.
+    Decision decide(uint64_t clockUs, const wire::EntryToAgent&, const Capacity&);
+
+    // Takes over the upstream's own account of what it runs.
+    void onUpstreamTasks(const std::vector<UpstreamTask>&);
+
+    // Returns the slots taken by work that this incarnation does not wait for: started by an earlier one, or ended here
+    // without an answer and not yet known to have stopped.
+    uint32_t foreignRunning() const { return m_foreign + static_cast<uint32_t>(m_uncertain.size()); }
 
     // Records how a started attempt ended, and returns the result to send. The result is kept until released if the
     // submission is durable.
@@ -71,14 +86,15 @@
     };
 
     bool fence(const wire::EntryToAgent&);
-    std::string refusalReason(
-        uint64_t clockUs, const wire::TaskDispatch&, const wire::EntryToAgent&, const Capacity&, uint32_t foreign) const;
+    std::string refusalReason(uint64_t clockUs, const wire::TaskDispatch&, const wire::EntryToAgent&, const Capacity&) const;
 
     uint64_t m_incarnation;
     std::string m_service;
     uint64_t m_epoch = 0;
     uint64_t m_sequence = 0;
     uint32_t m_running = 0;
+    uint32_t m_foreign = 0;
+    std::set<TaskId> m_uncertain;
     std::map<TaskId, Started> m_tasks;
 };
 
--- a/fescuegw/dispatch/Recovery.cpp
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -79,8 +79,10 @@
     command.mutable_enrol()->set_epoch(m_epoch);
     m_hooks.propose(command, [this, agent](TimePoint then, const wire::CommandResult& result) {
         const auto it = m_upstreams.find(agent);
-        if (result.code() != wire::ACCEPTED && result.code() != wire::REPEATED)
+        if (result.code() != wire::ACCEPTED && result.code() != wire::REPEATED) {
+            relinquish();
             return;
+        }
         m_enrolled.insert(agent);
         if (it == m_upstreams.end()) {
             m_lost.insert(agent);
@@ -117,6 +119,8 @@
 
 void ServiceDispatcher::onReport(TimePoint now, const AgentId& agent, const wire::AgentReport& report)
 {
+    if (m_state == State::Superseded)
+        return;
     auto it = m_upstreams.find(agent);
     if (it == m_upstreams.end()) {
         // A later incarnation proves that the earlier ones are gone.
@@ -159,7 +163,7 @@
 void ServiceDispatcher::onHeld(TimePoint now, const AgentId& agent, const wire::HeldTasks& held)
 {
     const auto it = m_upstreams.find(agent);
-    if (it == m_upstreams.end() || held.epoch() != m_epoch || !it->second.onHeld(held.sequence()))
+    if (m_state == State::Superseded || it == m_upstreams.end() || held.epoch() != m_epoch || !it->second.onHeld(held.sequence()))
         return;
     Upstream& upstream = it->second;
     upstream.onContact(now);
--- a/fescuegw/dispatch/Scheduling.cpp
+++ b/fescuegw/dispatch/Scheduling.cpp
@@ -44,7 +44,7 @@
 
 void ServiceDispatcher::schedule(TimePoint now)
 {
-    if (m_state == State::Loading)
+    if (m_state == State::Loading || m_state == State::Superseded)
         return;
     while (const auto key = m_queue.next()) {
         Tracked* tracked = find(*key);
@@ -137,7 +137,7 @@
 {
     const auto it = m_upstreams.find(agent);
     // Until the agent has told what it holds, its results are not taken: the list will have them.
-    if (it == m_upstreams.end() || it->second.collecting())
+    if (m_state == State::Superseded || it == m_upstreams.end() || it->second.collecting())
         return;
     it->second.onContact(now);
     for (const auto& result : results)
@@ -222,6 +222,8 @@
 
 void ServiceDispatcher::flush(TimePoint now)
 {
+    if (m_state == State::Loading || m_state == State::Superseded)
+        return;
     for (auto& it : m_outboxes) {
         AgentOutbox& box = it.second;
         wire::EntryToAgent& message = box.message;
@@ -230,7 +232,7 @@
             || message.releases_size() > 0 || newConfiguration;
         const auto found = m_upstreams.find(it.first);
         const bool wait = !box.urgent && !newConfiguration && now - box.lastSent < m_options.releaseInterval;
-        if (!hasContent || wait || found == m_upstreams.end() || m_state == State::Loading)
+        if (!hasContent || wait || found == m_upstreams.end())
             continue;
         if (message.dispatches_size() == 0 && message.cancels_size() == 0 && !message.collect())
             ++m_counters.releaseMessages;
--- a/fescuegw/dispatch/ServiceDispatcher.cpp
+++ b/fescuegw/dispatch/ServiceDispatcher.cpp
@@ -112,6 +112,10 @@
 void ServiceDispatcher::submit(
     TimePoint now, SubmissionSpec spec, const wire::TeamConfiguration& team, TimePoint due, ReplyHook reply)
 {
+    if (m_state == State::Superseded) {
+        reply(Reply { Reply::Kind::NotOwner, {}, {} });
+        return;
+    }
     if (m_state == State::Loading) {
         m_pending.push_back(Pending { std::move(spec), team, due, std::move(reply) });
         return;
@@ -203,8 +207,7 @@
         refuse(key, { Verdict::NotRun, statusConflict, result.detail() });
         return;
     default:
-        answerWaiters(*tracked, Reply { Reply::Kind::NotOwner, {}, {} });
-        erase(key);
+        relinquish();
         return;
     }
 }
@@ -313,8 +316,7 @@
     } else if (result.code() == wire::FINISHED) {
         complete(*tracked, result.outcome());
     } else {
-        answerWaiters(*tracked, Reply { Reply::Kind::NotOwner, {}, {} });
-        erase(key);
+        relinquish();
     }
 }
 
@@ -335,6 +337,7 @@
 
 void ServiceDispatcher::relinquish()
 {
+    m_state = State::Superseded;
     const Reply notOwner { Reply::Kind::NotOwner, {}, {} };
     for (auto& it : m_submissions)
         answerWaiters(it.second, notOwner);
@@ -342,11 +345,12 @@
         it.reply(notOwner);
     m_submissions.clear();
     m_pending.clear();
+    m_outboxes.clear();
 }
 
 void ServiceDispatcher::tick(TimePoint now)
 {
-    if (now < m_slowTickDue)
+    if (now < m_slowTickDue || m_state == State::Superseded)
         return;
     m_slowTickDue = now + slowTick;
     for (auto& it : m_submissions) {
--- a/fescuegw/dispatch/ServiceDispatcher.h
+++ b/fescuegw/dispatch/ServiceDispatcher.h
@@ -106,11 +106,12 @@
     // Sends what has gathered for each agent. Called at the end of each batch of events.
     void flush(TimePoint now);
 
-    // Tells all callers that another entry owns the service now.
+    // Tells all callers that another entry owns the service now, and sends nothing more to any agent.
     void relinquish();
 
     void setConfigurationVersion(uint64_t version) { m_configurationVersion = version; }
     bool serving() const { return m_state == State::Serving; }
+    bool superseded() const { return m_state == State::Superseded; }
     size_t submissionCount() const { return m_submissions.size(); }
     size_t queuedTasks() const;
     size_t runningTasks() const;
@@ -122,6 +123,9 @@
         Loading,
         Collecting,
         Serving,
+        // Another owner has taken over. Nothing may be sent any more: a release would make an agent forget a result that the
+        // new owner has not collected yet.
+        Superseded,
     };
     struct Waiter {
         TimePoint due;
--- a/fescuegw/state/OwnershipPolicy.cpp
+++ b/fescuegw/state/OwnershipPolicy.cpp
@@ -57,20 +57,21 @@
         }
     }
     for (const auto& service : orphans) {
+        const auto owned = registry.ownerships().find(service);
+        const uint64_t epoch = owned == registry.ownerships().end() ? 1 : owned->second.epoch() + 1;
         const auto proposed = m_proposed.find(service);
-        if (proposed != m_proposed.end() && now - proposed->second < m_entryLease)
+        if (proposed != m_proposed.end() && proposed->second.epoch == epoch && now - proposed->second.time < m_entryLease)
             continue;
         auto least = load.begin();
         for (auto it = load.begin(); it != load.end(); ++it)
             if (it->second < least->second)
                 least = it;
         ++least->second;
-        const auto owned = registry.ownerships().find(service);
         wire::Ownership next;
         next.set_service(service);
         next.set_owner(least->first);
-        next.set_epoch(owned == registry.ownerships().end() ? 1 : owned->second.epoch() + 1);
-        m_proposed[service] = now;
+        next.set_epoch(epoch);
+        m_proposed[service] = Proposed { epoch, now };
         assignments.push_back(next);
     }
     return assignments;
--- a/fescuegw/state/OwnershipPolicy.h
+++ b/fescuegw/state/OwnershipPolicy.h
@@ -39,6 +39,11 @@
         TimePoint seen;
     };
 
+    struct Proposed {
+        uint64_t epoch = 0;
+        TimePoint time;
+    };
+
     bool isLive(TimePoint now, const Entry&) const;
 
     Duration m_entryLease;
@@ -47,7 +52,8 @@
     uint64_t m_entriesCounter = 0;
     std::string m_entriesDigest;
     std::map<std::string, Entry> m_entries;
-    std::map<std::string, TimePoint> m_proposed;
+    // The newest assignment proposed for each service.
+    std::map<std::string, Proposed> m_proposed;
 };
 
 } // namespace fescuegw::state
--- a/scenarios/lib/cluster.lua
+++ b/scenarios/lib/cluster.lua
@@ -206,6 +206,9 @@
         check(code == 0, name .. " exited with " .. code)
     end
     for _, entry in ipairs(self.entries) do if host.alive(entry.name) then stop(entry.name) end end
+    for i in ipairs(self.agents) do
+        if host.alive("up" .. i) then host.signal("up" .. i, "TERM") end
+    end
     for i, agent in ipairs(self.agents) do
         if host.alive("up" .. i) then stop("up" .. i) end
         if host.alive(agent.name) then stop(agent.name) end
