--- a/fescuegw/agent/AgentServer.cpp
+++ b/fescuegw/agent/AgentServer.cpp
@@ -91,6 +91,7 @@
     , m_metrics(metrics)
     , m_starts(metrics.counter("fescuegw_agent_starts_total", "Tasks started on the upstream"))
     , m_refusals(metrics.counter("fescuegw_agent_refusals_total", "Tasks refused"))
+    , m_reports(metrics.counter("fescuegw_agent_reports_total", "Reports sent to entries"))
     , m_messagesIn(metrics.counter("fescuegw_agent_messages_total", "Messages by direction", "in"))
     , m_messagesOut(metrics.counter("fescuegw_agent_messages_total", "Messages by direction", "out"))
 {
@@ -234,6 +235,7 @@
     report.set_unreleased(m_table.unreleased());
     report.set_received_sequence(m_table.sequence());
     report.set_upstream(m_announcement.address.text());
+    m_reports.Increment();
     send(entry, reported);
 }
 
--- a/fescuegw/agent/AgentServer.h
+++ b/fescuegw/agent/AgentServer.h
@@ -139,6 +139,7 @@
 
     prometheus::Counter& m_starts;
     prometheus::Counter& m_refusals;
+    prometheus::Counter& m_reports;
     prometheus::Counter& m_messagesIn;
     prometheus::Counter& m_messagesOut;
 };
--- a/fescuegw/relay/Relay.cpp
+++ b/fescuegw/relay/Relay.cpp
@@ -19,7 +19,7 @@
 
     constexpr size_t bufferSize = 64U << 10U;
     constexpr int backlog = 512;
-    constexpr Duration pollMost = std::chrono::milliseconds(10);
+    constexpr Duration pollMost = std::chrono::milliseconds(50);
 
     sockaddr_in toSocketAddress(const settings::Address& address)
     {
--- a/fescuegw/scenario/Host.cpp
+++ b/fescuegw/scenario/Host.cpp
@@ -104,6 +104,29 @@
     return !process.ended;
 }
 
+std::map<std::string, std::pair<double, uint64_t>> Host::usage()
+{
+    std::map<std::string, std::pair<double, uint64_t>> usage;
+    const auto ticksPerSecond = static_cast<double>(sysconf(_SC_CLK_TCK));
+    const auto pageKb = static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) / 1024;
+    for (auto& it : m_processes) {
+        std::ifstream stream("/proc/" + std::to_string(it.second.pid) + "/stat");
+        std::string field;
+        uint64_t ticks = 0;
+        uint64_t pages = 0;
+        // Fields of proc(5): utime and stime are the 14th and 15th, rss the 24th.
+        for (int n = 1; n <= 24 && stream >> field; ++n) {
+            if (n == 14 || n == 15)
+                ticks += std::stoull(field);
+            if (n == 24)
+                pages = std::stoull(field);
+        }
+        if (alive(it.first))
+            usage[it.first] = { static_cast<double>(ticks) / ticksPerSecond, pages * pageKb };
+    }
+    return usage;
+}
+
 std::pair<int, std::string> Host::run(const std::string& program, const std::vector<std::string>& arguments)
 {
     const std::string output = m_folder + "/run.out";
--- a/fescuegw/scenario/Host.h
+++ b/fescuegw/scenario/Host.h
@@ -32,6 +32,9 @@
     int wait(const std::string& name, Duration timeout);
     bool alive(const std::string& name);
 
+    // Returns the processor seconds and resident kilobytes of each running process, by name.
+    std::map<std::string, std::pair<double, uint64_t>> usage();
+
     // Runs a program to its end and returns its exit code and output.
     std::pair<int, std::string> run(const std::string& program, const std::vector<std::string>& arguments);
 
