Agents report only after the results that came before; a stopping entry without work waits 3 s for a successor

Ruled out: lost messages (links on loopback, none broken); foreign work (stand-ins had none). Change: results are flushed before any report or held list. Second: entries and replicas stopped together made the entry wait its whole drain limit, since nobody could take its services. Conclusion: mended in part; the remaining collects have another cause.

--- a/fescuegw/agent/AgentServer.cpp
+++ b/fescuegw/agent/AgentServer.cpp
@@ -216,6 +216,8 @@
 
 void AgentServer::report(TimePoint now, const std::string& entry)
 {
+    // An owner compares the count of running tasks with its own when all earlier results have reached it.
+    flushResults();
     m_entries[entry].reportDue = now + (entry == m_owner ? m_settings.reportInterval : m_settings.standbyReportInterval);
     wire::AgentToEntry reported = message();
     wire::AgentReport& report = *reported.mutable_report();
@@ -276,6 +278,7 @@
     for (auto& it : decision.refusals)
         m_results[peer.name].push_back(std::move(it));
     if (decision.collect) {
+        flushResults();
         wire::AgentToEntry answer = this->message();
         *answer.mutable_held() = m_table.held();
         send(peer.name, answer);
@@ -309,7 +312,7 @@
     return m_table.running() == 0 && m_table.unreleased() == 0;
 }
 
-void AgentServer::onBatchEnd(TimePoint now)
+void AgentServer::flushResults()
 {
     for (auto& it : m_results) {
         if (it.second.empty())
@@ -320,6 +323,11 @@
         it.second.clear();
         send(it.first, results);
     }
+}
+
+void AgentServer::onBatchEnd(TimePoint now)
+{
+    flushResults();
     if (upstreamState(now) != m_reportedState) {
         m_ready = upstreamState(now) == wire::SERVING;
         reportToAll(now);
--- a/fescuegw/agent/AgentServer.h
+++ b/fescuegw/agent/AgentServer.h
@@ -112,6 +112,7 @@
     void send(const std::string& entry, const wire::AgentToEntry&);
     wire::AgentToEntry message() const;
     wire::UpstreamState upstreamState(TimePoint now) const;
+    void flushResults();
     void onTaskEnd(const wire::TaskResult&);
     bool drained(TimePoint now) const;
 
--- a/fescuegw/entry/EntryServer.cpp
+++ b/fescuegw/entry/EntryServer.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+    // How long a stopping entry without work waits for another to take its services.
+    constexpr Duration handOverLimit = std::chrono::seconds(3);
     constexpr Duration metricsInterval = std::chrono::milliseconds(500);
 
     std::string replicaName(uint64_t id) { return "replica-" + std::to_string(id); }
@@ -312,9 +314,8 @@
             .with("verdict", "may-have-run");
         return true;
     }
-    // Services go to other entries; with none left, the submissions end here.
-    const bool alone = m_dispatcher->view().entries_size() <= 1;
-    const bool handedOver = m_dispatcher->services().empty() || (alone && submissions == 0);
+    // Services go to other entries. Where nobody takes them, it is enough that nothing is in flight.
+    const bool handedOver = m_dispatcher->services().empty() || (submissions == 0 && now >= m_quiesceAt + handOverLimit);
     return m_quiesced && handedOver && m_router->callCount() == 0 && m_callers->pending() == 0;
 }
 
