--- a/fescuegw/dispatch/Recovery.cpp
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -154,7 +154,7 @@
         else if (!m_retiring.contains(agent))
             enrol(agent);
     }
-    const bool differs = it->second.onReport(now, report);
+    const bool differs = it->second.onReport(now, report, outbox(agent).message.dispatches_size() > 0);
     if (differs && m_state != State::Loading)
         collectFrom(now, it->second);
     // An answer travels with the agent's next report at the latest.
--- a/fescuegw/dispatch/Upstream.cpp
+++ b/fescuegw/dispatch/Upstream.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    // Reports without news of our last message before it is taken for lost.
-    constexpr uint64_t reportsUntilLost = 2;
     constexpr uint32_t ejectionsAtMost = 16;
 
 } // namespace
@@ -22,7 +20,7 @@
 {
 }
 
-bool Upstream::onReport(TimePoint now, const wire::AgentReport& report)
+bool Upstream::onReport(TimePoint now, const wire::AgentReport& report, bool unsent)
 {
     m_report = report;
     m_reported = now;
@@ -31,9 +29,11 @@
         return m_collectSequence == 0 || now - m_collectSent > m_options.lease / 2;
     // Messages keep their order on a link: an agent that has had all of ours and whose results we have had must count the
     // same attempts. A difference shows that a link broke and took messages with it.
-    const bool receivedAll = report.received_sequence() == m_sequence;
-    m_unreceivedReports = receivedAll ? 0 : m_unreceivedReports + 1;
-    return (receivedAll && report.running() != m_occupations.size()) || m_unreceivedReports >= reportsUntilLost;
+    const bool receivedAll = !unsent && report.received_sequence() == m_sequence;
+    // What was sent before the previous report has had a whole report interval to arrive.
+    const bool lostSome = report.received_sequence() < m_sequenceAtReport;
+    m_sequenceAtReport = m_sequence;
+    return lostSome || (receivedAll && report.running() != m_occupations.size());
 }
 
 void Upstream::setCollecting(TimePoint now, uint64_t sequence)
@@ -41,7 +41,8 @@
     m_collecting = true;
     m_collectSequence = sequence;
     m_collectSent = now;
-    m_unreceivedReports = 0;
+    // Only messages from now on are compared with later reports.
+    m_sequenceAtReport = 0;
 }
 
 bool Upstream::onHeld(uint64_t sequence)
--- a/fescuegw/dispatch/Upstream.h
+++ b/fescuegw/dispatch/Upstream.h
@@ -50,8 +50,9 @@
     const AgentId& agent() const { return m_agent; }
     const wire::AgentReport& report() const { return m_report; }
 
-    // Takes over a report. Returns whether the agent must be asked what it holds, since its account and ours differ.
-    bool onReport(TimePoint now, const wire::AgentReport&);
+    // Takes over a report. Returns whether the agent must be asked what it holds, since its account and ours differ. With
+    // `unsent`, some occupations belong to messages that have not been sent yet, and the accounts can't be compared.
+    bool onReport(TimePoint now, const wire::AgentReport&, bool unsent);
     void onContact(TimePoint now) { m_contact = now; }
 
     void setEnrolled() { m_enrolled = true; }
@@ -102,7 +103,8 @@
     uint64_t m_collectSequence = 0;
     TimePoint m_collectSent;
     uint64_t m_sequence = 0;
-    uint64_t m_unreceivedReports = 0;
+    // What had been sent when the previous report came.
+    uint64_t m_sequenceAtReport = 0;
     std::map<AttemptRef, Size> m_occupations;
     Size m_used;
     uint32_t m_failures = 0;
