Reports travel with results, releases with dispatches

Change: a results message carries the report when one is due within half an interval; owners take results before the report. Releases wait for a dispatch, at most 5 s, and go at once only to an agent that leaves. Standby reports to other entries every 15 s instead of 5 s. Ruled out: a longer heartbeat to the owner; it would make the detection of a lost worker slower for no gain while work flows.

--- a/fescuegw/agent/AgentServer.cpp
+++ b/fescuegw/agent/AgentServer.cpp
@@ -73,7 +73,7 @@
     AgentSettings settings;
     settings.process = daemon::readProcessSettings(document);
     settings.reportInterval = milliseconds(document.numberOr("agent", "report-ms", 1000, 50, 60000));
-    settings.standbyReportInterval = milliseconds(document.numberOr("agent", "standby-report-ms", 5000, 50, 600000));
+    settings.standbyReportInterval = milliseconds(document.numberOr("agent", "standby-report-ms", 15000, 50, 600000));
     settings.announceLease = milliseconds(document.numberOr("agent", "announce-lease-ms", 2000, 100, 60000));
     settings.drainLimit = milliseconds(document.numberOr("agent", "drain-limit-ms", 30000, 0, 3600000));
     for (const auto& key : document.keys("entries"))
@@ -214,13 +214,9 @@
     m_hub->send({ net::Peer::Direction::Connected, entry }, envelope.SerializeAsString());
 }
 
-void AgentServer::report(TimePoint now, const std::string& entry)
+wire::AgentReport AgentServer::makeReport(TimePoint now) const
 {
-    // An owner compares the count of running tasks with its own when all earlier results have reached it.
-    flushResults();
-    m_entries[entry].reportDue = now + (entry == m_owner ? m_settings.reportInterval : m_settings.standbyReportInterval);
-    wire::AgentToEntry reported = message();
-    wire::AgentReport& report = *reported.mutable_report();
+    wire::AgentReport report;
     report.set_agent(m_settings.process.name);
     report.set_incarnation(m_incarnation);
     report.set_domain(m_settings.process.domain);
@@ -237,6 +233,21 @@
     report.set_unreleased(m_table.unreleased());
     report.set_received_sequence(m_table.sequence());
     report.set_upstream(m_announcement.address.text());
+    return report;
+}
+
+Duration AgentServer::reportInterval(const std::string& entry) const
+{
+    return entry == m_owner ? m_settings.reportInterval : m_settings.standbyReportInterval;
+}
+
+void AgentServer::report(TimePoint now, const std::string& entry)
+{
+    // An owner compares the count of running tasks with its own when all earlier results have reached it.
+    flushResults(now);
+    m_entries[entry].reportDue = now + reportInterval(entry);
+    wire::AgentToEntry reported = message();
+    *reported.mutable_report() = makeReport(now);
     m_reports.Increment();
     send(entry, reported);
 }
@@ -278,7 +289,7 @@
     for (auto& it : decision.refusals)
         m_results[peer.name].push_back(std::move(it));
     if (decision.collect) {
-        flushResults();
+        flushResults(now);
         wire::AgentToEntry answer = this->message();
         *answer.mutable_held() = m_table.held();
         send(peer.name, answer);
@@ -312,7 +323,7 @@
     return m_table.running() == 0 && m_table.unreleased() == 0;
 }
 
-void AgentServer::flushResults()
+void AgentServer::flushResults(TimePoint now)
 {
     for (auto& it : m_results) {
         if (it.second.empty())
@@ -321,13 +332,19 @@
         for (auto& result : it.second)
             *results.add_results() = std::move(result);
         it.second.clear();
+        // A report that is due soon travels along: while work flows, none is sent for its own sake.
+        EntryLink& link = m_entries[it.first];
+        if (now + reportInterval(it.first) / 2 >= link.reportDue) {
+            link.reportDue = now + reportInterval(it.first);
+            *results.mutable_report() = makeReport(now);
+        }
         send(it.first, results);
     }
 }
 
 void AgentServer::onBatchEnd(TimePoint now)
 {
-    flushResults();
+    flushResults(now);
     if (upstreamState(now) != m_reportedState) {
         m_ready = upstreamState(now) == wire::SERVING;
         reportToAll(now);
--- a/fescuegw/agent/AgentServer.h
+++ b/fescuegw/agent/AgentServer.h
@@ -112,7 +112,9 @@
     void send(const std::string& entry, const wire::AgentToEntry&);
     wire::AgentToEntry message() const;
     wire::UpstreamState upstreamState(TimePoint now) const;
-    void flushResults();
+    void flushResults(TimePoint now);
+    wire::AgentReport makeReport(TimePoint now) const;
+    Duration reportInterval(const std::string& entry) const;
     void onTaskEnd(const wire::TaskResult&);
     bool drained(TimePoint now) const;
 
--- a/fescuegw/dispatch/Dispatcher.cpp
+++ b/fescuegw/dispatch/Dispatcher.cpp
@@ -66,11 +66,8 @@
 void Dispatcher::onAgentMessage(TimePoint now, const wire::AgentToEntry& message)
 {
     const AgentId agent { message.agent(), message.incarnation() };
-    if (message.has_report()) {
+    if (message.has_report())
         m_agents[agent] = KnownAgent { message.report(), now };
-        if (ServiceDispatcher* service = owned(message.report().service()))
-            service->onReport(now, agent, message.report());
-    }
     const auto known = m_agents.find(agent);
     if (known == m_agents.end())
         return;
@@ -81,6 +78,9 @@
         service->onHeld(now, agent, message.held());
     if (message.results_size() > 0)
         service->onResults(now, agent, { message.results().begin(), message.results().end() });
+    // A report that travels with results counts what runs after them.
+    if (message.has_report())
+        service->onReport(now, agent, message.report());
 }
 
 void Dispatcher::onUndeliverable(TimePoint now, const AgentId& agent, const wire::EntryToAgent& message)
--- a/fescuegw/dispatch/Recovery.cpp
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -157,8 +157,9 @@
     const bool differs = it->second.onReport(now, report, outbox(agent).message.dispatches_size() > 0);
     if (differs && m_state != State::Loading)
         collectFrom(now, it->second);
-    // An answer travels with the agent's next report at the latest.
-    outbox(agent).urgent = outbox(agent).message.releases_size() > 0;
+    // Releases travel with dispatches; only an agent that waits for them to leave gets them at once.
+    if (report.state() != wire::SERVING && outbox(agent).message.releases_size() > 0)
+        outbox(agent).urgent = true;
     if (!it->second.collecting())
         schedule(now);
 }
--- a/fescuegw/dispatch/ServiceDispatcher.h
+++ b/fescuegw/dispatch/ServiceDispatcher.h
@@ -54,7 +54,7 @@
     std::string entry;
     UpstreamOptions upstream;
     // How often messages that only release results may be sent to one agent.
-    Duration releaseInterval { std::chrono::milliseconds(1000) };
+    Duration releaseInterval { std::chrono::seconds(5) };
     // A task may run for this many times its service's expected time, and never less than `runLimitLeast`.
     uint32_t runLimitFactor = 50;
     Duration runLimitLeast { std::chrono::seconds(30) };
--- a/fescuegw/entry/EntryHttp.cpp
+++ b/fescuegw/entry/EntryHttp.cpp
@@ -20,7 +20,7 @@
     constexpr int statusNotFound = 404;
     constexpr int statusConflict = 409;
     constexpr int statusUnavailable = 503;
-    constexpr Duration statusMaximumAge = std::chrono::seconds(15);
+    constexpr Duration statusMaximumAge = std::chrono::seconds(40);
     constexpr std::string_view teamsPrefix = "/v1/teams/";
     constexpr std::string_view questionnaireSuffix = "/questionnaire";
 
--- a/fescuegw/load/main.cpp
+++ b/fescuegw/load/main.cpp
@@ -20,7 +20,8 @@
 namespace options = boost::program_options;
 
 // Response times of the measured jobs divided by the ideal's.
-std::vector<double> ratios(const std::vector<load::Job>& jobs, const std::vector<Duration>& responses, const std::vector<Duration>& ideal)
+std::vector<double> ratios(
+    const std::vector<load::Job>& jobs, const std::vector<Duration>& responses, const std::vector<Duration>& ideal)
 {
     std::vector<double> values;
     for (size_t i = 0; i < jobs.size(); ++i)
@@ -31,8 +32,8 @@
 
 json quantiles(const std::vector<double>& values)
 {
-    return { { "p50", load::quantile(values, 0.5) }, { "p90", load::quantile(values, 0.9) }, { "p99", load::quantile(values, 0.99) },
-        { "p999", load::quantile(values, 0.999) }, { "jobs", values.size() } };
+    return { { "p50", load::quantile(values, 0.5) }, { "p90", load::quantile(values, 0.9) },
+        { "p99", load::quantile(values, 0.99) }, { "p999", load::quantile(values, 0.999) }, { "jobs", values.size() } };
 }
 
 struct Wasted {
@@ -43,9 +44,11 @@
 // Messages by kind, as the difference of two readings, that started no task whose answer was used.
 Wasted wastedMessages(const load::ClusterCounts& before, const load::ClusterCounts& after)
 {
-    static const std::map<std::string, std::string> kinds { { "refused", "fescuegw_entry_refused" }, { "retried", "fescuegw_entry_retried" },
-        { "hedged", "fescuegw_entry_hedged" }, { "stray", "fescuegw_entry_stray_results" }, { "collects", "fescuegw_entry_collects" },
-        { "releases", "fescuegw_entry_release_messages" }, { "cancels", "fescuegw_entry_cancels" }, { "reports", "fescuegw_agent_reports_total" } };
+    static const std::map<std::string, std::string> kinds { { "refused", "fescuegw_entry_refused" },
+        { "retried", "fescuegw_entry_retried" }, { "hedged", "fescuegw_entry_hedged" },
+        { "stray", "fescuegw_entry_stray_results" }, { "collects", "fescuegw_entry_collects" },
+        { "releases", "fescuegw_entry_release_messages" }, { "cancels", "fescuegw_entry_cancels" },
+        { "reports", "fescuegw_agent_reports_total" } };
     Wasted wasted;
     const auto read = [](const load::ClusterCounts& counts, const std::string& name) {
         const auto it = counts.metrics.find(name);
@@ -66,7 +69,8 @@
     const std::string data = path + ".dat";
     std::ofstream stream(data);
     std::string commands = "set terminal svg size 800,500 background 'white'\nset output '" + path
-        + "'\nset logscale x\nset xlabel 'response time / ideal'\nset ylabel 'share of jobs'\nset key bottom right\nset grid\nset yrange [0:1]\nplot ";
+        + "'\nset logscale x\nset xlabel 'response time / ideal'\nset ylabel 'share of jobs'\nset key bottom right\nset "
+          "grid\nset yrange [0:1]\nplot ";
     size_t index = 0;
     for (const auto& it : series) {
         std::vector<double> values = it.second;
@@ -74,7 +78,8 @@
         for (size_t i = 0; i < values.size(); ++i)
             stream << values[i] << ' ' << static_cast<double>(i + 1) / static_cast<double>(values.size()) << '\n';
         stream << "\n\n";
-        commands += (index == 0 ? "" : ", ") + ("'" + data + "' index " + std::to_string(index) + " with lines title '" + it.first + "'");
+        commands += (index == 0 ? "" : ", ")
+            + ("'" + data + "' index " + std::to_string(index) + " with lines title '" + it.first + "'");
         ++index;
     }
     stream.close();
@@ -111,7 +116,8 @@
 
 // Jobs that were told "not run" and of which a stand-in counted more starts than their complete and failed jobs explain can only
 // be seen in the sum: no refused job may have raised it.
-uint64_t falseNotRun(const std::vector<load::Job>& jobs, const std::vector<load::CallResult>& results, uint64_t starts, bool faultFree)
+uint64_t falseNotRun(
+    const std::vector<load::Job>& jobs, const std::vector<load::CallResult>& results, uint64_t starts, bool faultFree)
 {
     uint64_t explained = 0;
     for (size_t i = 0; i < jobs.size(); ++i)
@@ -167,10 +173,11 @@
     const uint64_t starts = after.starts - before.starts;
     const uint64_t notRun = falseNotRun(jobs, results, starts, profile.fault == "none");
 
-    json report = { { "profile", profile.name }, { "seed", profile.seed }, { "jobs", jobs.size() }, { "tasks", tasks }, { "seconds", seconds },
-        { "starts", starts }, { "doubled", after.doubled }, { "complete", sums.complete }, { "failed", sums.failed }, { "refused", sums.refused },
-        { "unanswered", sums.unanswered }, { "partial", sums.partial }, { "foreign", sums.foreign }, { "false_not_run", notRun },
-        { "wasted_per_task", wasted.perTask }, { "wasted", wasted.kinds } };
+    json report = { { "profile", profile.name }, { "seed", profile.seed }, { "jobs", jobs.size() }, { "tasks", tasks },
+        { "seconds", seconds }, { "starts", starts }, { "doubled", after.doubled }, { "complete", sums.complete },
+        { "failed", sums.failed }, { "refused", sums.refused }, { "unanswered", sums.unanswered }, { "partial", sums.partial },
+        { "foreign", sums.foreign }, { "false_not_run", notRun }, { "wasted_per_task", wasted.perTask },
+        { "wasted", wasted.kinds } };
     std::cout << std::fixed << std::setprecision(3) << "policy          p50     p90     p99   p99.9   (response time / ideal)\n";
     for (const auto& it : series) {
         report["ratio"][it.first] = quantiles(it.second);
@@ -193,16 +200,20 @@
         const auto was = before.metrics.find(it.first);
         report["metrics"][it.first] = it.second - (was == before.metrics.end() ? 0 : was->second);
     }
+    for (size_t i = 0; i < jobs.size(); ++i)
+        if (jobs[i].measured)
+            report["rows"].push_back({ jobs[i].runs.size(), responses[i].count(), ideal[i].count() });
     if (!output.empty()) {
         std::ofstream(output + ".json") << report.dump(2) << '\n';
         plot(output + ".svg", series);
     }
     const std::vector<double>& own = series["fescuegw"];
-    std::cout << "profile=" << profile.name << " seed=" << profile.seed << " tasks=" << tasks << " p50=" << load::quantile(own, 0.5)
-              << " p90=" << load::quantile(own, 0.9) << " p99=" << load::quantile(own, 0.99) << " p999=" << load::quantile(own, 0.999)
-              << " wasted=" << wasted.perTask << " complete=" << sums.complete << " failed=" << sums.failed << " refused=" << sums.refused
-              << " unanswered=" << sums.unanswered << " doubled=" << after.doubled << " partial=" << sums.partial << " foreign=" << sums.foreign
-              << " false_not_run=" << notRun << std::endl;
+    std::cout << "profile=" << profile.name << " seed=" << profile.seed << " tasks=" << tasks
+              << " p50=" << load::quantile(own, 0.5) << " p90=" << load::quantile(own, 0.9)
+              << " p99=" << load::quantile(own, 0.99) << " p999=" << load::quantile(own, 0.999) << " wasted=" << wasted.perTask
+              << " complete=" << sums.complete << " failed=" << sums.failed << " refused=" << sums.refused
+              << " unanswered=" << sums.unanswered << " doubled=" << after.doubled << " partial=" << sums.partial
+              << " foreign=" << sums.foreign << " false_not_run=" << notRun << std::endl;
     std::filesystem::remove_all(folder);
     return after.doubled + sums.partial + sums.foreign + notRun == 0 ? 0 : daemon::exitFailure;
 }
