--- a/fescuegw/load/Callers.cpp
+++ b/fescuegw/load/Callers.cpp
@@ -56,7 +56,8 @@
         const json tasks = answer.value("tasks", json::array());
         result.partial = tasks.size() != job.runs.size();
         for (size_t i = 0; i < tasks.size() && i < job.runs.size(); ++i) {
-            const std::string expected = profile.team + "/" + job.id + "/" + std::to_string(i) + ":" + contentDigest(inputOf(job, i));
+            const std::string expected
+                = profile.team + "/" + job.id + "/" + std::to_string(i) + ":" + contentDigest(inputOf(job, i));
             result.foreign = result.foreign || tasks[i].value("output", "") != expected;
         }
     }
@@ -117,8 +118,8 @@
             transfer.handle = curl_easy_init();
             if (!cancels)
                 transfer.request = bodyOf(m_profile, m_jobs[job]);
-            const std::string url
-                = "http://" + m_entries[job % m_entries.size()] + "/v1/teams/" + m_profile.team + "/submissions/" + m_jobs[job].id;
+            const std::string url = "http://" + m_entries[job % m_entries.size()] + "/v1/teams/" + m_profile.team
+                + "/submissions/" + m_jobs[job].id;
             curl_easy_setopt(transfer.handle, CURLOPT_URL, url.c_str());
             curl_easy_setopt(transfer.handle, CURLOPT_CUSTOMREQUEST, cancels ? "DELETE" : "PUT");
             curl_easy_setopt(transfer.handle, CURLOPT_PROXY, "");
--- a/fescuegw/load/Cluster.cpp
+++ b/fescuegw/load/Cluster.cpp
@@ -20,10 +20,7 @@
     constexpr int signalKill = 9;
     constexpr mode_t secretMode = 0600;
 
-    settings::Address loopback()
-    {
-        return settings::Address { "127.0.0.1", relay::freePort() };
-    }
+    settings::Address loopback() { return settings::Address { "127.0.0.1", relay::freePort() }; }
 
     std::string get(const settings::Address& address, const std::string& path)
     {
@@ -71,7 +68,8 @@
 
 std::string Cluster::processSection(const std::string& name, const settings::Address& http) const
 {
-    return "[process]\nname = " + name + "\ndomain = local\nlog-level = warn\nhttp = " + http.text() + "\nkeys = " + m_host.folder() + "/keys\n";
+    return "[process]\nname = " + name + "\ndomain = local\nlog-level = warn\nhttp = " + http.text()
+        + "\nkeys = " + m_host.folder() + "/keys\n";
 }
 
 settings::Address Cluster::viaRelay(const std::string& name, const settings::Address& target, Duration delay)
@@ -100,12 +98,12 @@
         // A replica reaches the others, and entries reach it, through the delay between failure domains.
         std::string members = "[group]\n";
         for (uint32_t j = 1; j <= m_profile.replicas; ++j) {
-            const settings::Address peer = i == j ? listens[j - 1]
-                                                  : viaRelay(name + "-state" + std::to_string(j), listens[j - 1], m_profile.domainDelay);
+            const settings::Address peer
+                = i == j ? listens[j - 1] : viaRelay(name + "-state" + std::to_string(j), listens[j - 1], m_profile.domainDelay);
             members += std::to_string(j) + " = " + peer.text() + "\n";
         }
-        const std::string text = processSection(name, http) + "[replica]\nid = " + std::to_string(i) + "\nlisten = " + listens[i - 1].text()
-            + "\ndata = " + m_host.folder() + "/" + name + "\n" + members;
+        const std::string text = processSection(name, http) + "[replica]\nid = " + std::to_string(i)
+            + "\nlisten = " + listens[i - 1].text() + "\ndata = " + m_host.folder() + "/" + name + "\n" + members;
         m_host.spawn(name, "fescuegw-state", { "--settings", write(name + ".ini", text) });
         const settings::Address fromEntries = viaRelay("entries-" + name, listens[i - 1], m_profile.domainDelay);
         m_stateSection += std::to_string(i) + " = " + fromEntries.text() + "\n";
@@ -120,8 +118,8 @@
         const settings::Address callers = loopback();
         m_entryListens.push_back(loopback());
         m_processes.push_back({ name, http });
-        const std::string text = processSection(name, http) + "[entry]\nlisten = " + m_entryListens.back().text() + "\ncallers = " + callers.text()
-            + "\noperator-token = " + m_host.folder() + "/token\nbalancer-grace-ms = 0\n" + m_stateSection;
+        const std::string text = processSection(name, http) + "[entry]\nlisten = " + m_entryListens.back().text() + "\ncallers = "
+            + callers.text() + "\noperator-token = " + m_host.folder() + "/token\nbalancer-grace-ms = 0\n" + m_stateSection;
         m_host.spawn(name, "fescuegw-entry", { "--settings", write(name + ".ini", text) });
         m_callers.push_back(viaRelay("clients-" + name, callers, m_profile.clientDelay).text());
     }
@@ -137,8 +135,9 @@
     std::string upstreams = "[process]\nlog-level = warn\n";
     for (uint32_t i = 1; i <= m_profile.workers; ++i) {
         Worker worker { "agent" + std::to_string(i), loopback(), loopback() };
-        upstreams += "[upstream up" + std::to_string(i) + "]\nservice = " + m_profile.service + "\nlisten = " + worker.upstream.text()
-            + "\nagent = " + worker.agentHttp.text() + "\nslots = " + std::to_string(m_profile.slots) + "\n";
+        upstreams += "[upstream up" + std::to_string(i) + "]\nservice = " + m_profile.service
+            + "\nlisten = " + worker.upstream.text() + "\nagent = " + worker.agentHttp.text()
+            + "\nslots = " + std::to_string(m_profile.slots) + "\n";
         const std::string text = processSection(worker.name, worker.agentHttp) + entries;
         m_host.spawn(worker.name, "fescuegw-agent", { "--settings", write(worker.name + ".ini", text) });
         m_workers.push_back(worker);
@@ -148,10 +147,15 @@
 
 void Cluster::apply()
 {
-    const std::string path = write("questionnaire.ini", "[team]\nname = " + m_profile.team + "\nversion = 1\ntasks-in-flight = 1000000\n[service "
-            + m_profile.service + "]\nurgency = high\nrepeats = none\nlate-after-ms = 60000\nrun-time-ms = 500\n");
+    const std::string path = write("questionnaire.ini",
+        "[team]\nname = " + m_profile.team + "\nversion = 1\ntasks-in-flight = 1000000\n[service " + m_profile.service
+            + "]\nurgency = high\nrepeats = none\nlate-after-ms = 60000\nrun-time-ms = 500\n");
     const TimePoint end = monotonicNow() + startLimit;
-    while (m_host.run("fescuectl", { "apply", path, "--entry", m_processes.back().http.text(), "--token", m_host.folder() + "/token" }).first != 0) {
+    while (
+        m_host
+            .run("fescuectl", { "apply", path, "--entry", m_processes.back().http.text(), "--token", m_host.folder() + "/token" })
+            .first
+        != 0) {
         if (monotonicNow() > end)
             throw std::runtime_error("the questionnaire can't be applied");
         usleep(static_cast<useconds_t>(pollInterval.count()));
@@ -221,10 +225,7 @@
     return counts;
 }
 
-std::map<std::string, std::pair<double, uint64_t>> Cluster::usage()
-{
-    return m_host.usage();
-}
+std::map<std::string, std::pair<double, uint64_t>> Cluster::usage() { return m_host.usage(); }
 
 void Cluster::stop()
 {
--- a/fescuegw/load/Profile.cpp
+++ b/fescuegw/load/Profile.cpp
@@ -10,7 +10,8 @@
     constexpr double permille = 1000;
     constexpr uint32_t mostTasks = 840;
 
-    uint32_t number(settings::Document& document, const char* section, const char* key, uint64_t absent, uint64_t least, uint64_t most)
+    uint32_t number(
+        settings::Document& document, const char* section, const char* key, uint64_t absent, uint64_t least, uint64_t most)
     {
         return static_cast<uint32_t>(document.numberOr(section, key, absent, least, most));
     }
@@ -63,7 +64,8 @@
 {
     std::mt19937_64 random(profile.seed);
     const double capacity = static_cast<double>(profile.workers) * profile.slots;
-    const double jobsPerSecond = capacity * profile.utilisationPercent / percent / (meanTasks(profile) * meanRunMs(profile) / 1000);
+    const double jobsPerSecond
+        = capacity * profile.utilisationPercent / percent / (meanTasks(profile) * meanRunMs(profile) / 1000);
     std::exponential_distribution<double> gap(jobsPerSecond);
     std::uniform_real_distribution<double> share(0, 1);
     std::uniform_int_distribution<uint32_t> tasks(2, profile.jobTasks);
