--- a/fescuegw/agent/TaskTable.cpp
+++ b/fescuegw/agent/TaskTable.cpp
@@ -1,24 +1,13 @@
 #include "fescuegw/agent/TaskTable.h"
 
+#include "fescuegw/wire/Verdicts.h"
+
 namespace fescuegw::agent {
 
 namespace {
 
     TaskId idOf(const wire::TaskKey& key) { return TaskId { { key.team(), key.submission() }, key.index() }; }
 
-    wire::Verdict wireVerdict(Verdict verdict)
-    {
-        switch (verdict) {
-        case Verdict::NotRun:
-            return wire::NOT_RUN;
-        case Verdict::MayHaveRun:
-            return wire::MAY_HAVE_RUN;
-        case Verdict::Ran:
-            return wire::RAN;
-        }
-        return wire::MAY_HAVE_RUN;
-    }
-
     wire::TaskResult resultFor(const wire::TaskDispatch& task, uint64_t epoch)
     {
         wire::TaskResult result;
@@ -144,7 +133,7 @@
     started.running = false;
     --m_running;
     started.result.set_succeeded(succeeded);
-    started.result.set_verdict(wireVerdict(verdict));
+    started.result.set_verdict(wire::toWire(verdict));
     started.result.set_reason(reason);
     started.result.set_output(std::move(output));
     started.result.set_run_us(runUs);
--- a/fescuegw/dispatch/Scheduling.cpp
+++ b/fescuegw/dispatch/Scheduling.cpp
@@ -3,6 +3,7 @@
 
 #include "fescuegw/dispatch/ServiceDispatcher.h"
 #include "fescuegw/logging/Log.h"
+#include "fescuegw/wire/Verdicts.h"
 
 namespace fescuegw::dispatch {
 
@@ -164,7 +165,7 @@
     const int position = submission.position(result.key().index());
     if (position < 0)
         return;
-    const Verdict verdict = fromWire(result.verdict());
+    const Verdict verdict = wire::fromWire(result.verdict());
     bool used = false;
     if (result.succeeded()) {
         used = submission.succeed(position, result.attempt(), result.output());
--- a/fescuegw/dispatch/Submission.cpp
+++ b/fescuegw/dispatch/Submission.cpp
@@ -2,33 +2,9 @@
 
 #include <algorithm>
 
-namespace fescuegw::dispatch {
-
-wire::Verdict toWire(Verdict verdict)
-{
-    switch (verdict) {
-    case Verdict::NotRun:
-        return wire::NOT_RUN;
-    case Verdict::MayHaveRun:
-        return wire::MAY_HAVE_RUN;
-    case Verdict::Ran:
-        return wire::RAN;
-    }
-    return wire::MAY_HAVE_RUN;
-}
+#include "fescuegw/wire/Verdicts.h"
 
-Verdict fromWire(wire::Verdict verdict)
-{
-    switch (verdict) {
-    case wire::NOT_RUN:
-        return Verdict::NotRun;
-    case wire::RAN:
-        return Verdict::Ran;
-    default:
-        // Also whatever a later version may add.
-        return Verdict::MayHaveRun;
-    }
-}
+namespace fescuegw::dispatch {
 
 Submission::Submission(TimePoint now, SubmissionSpec spec)
     : m_spec(std::move(spec))
@@ -164,11 +140,6 @@
     m_queued.clear();
 }
 
-bool Submission::hasUnresolved() const
-{
-    return std::any_of(m_tasks.begin(), m_tasks.end(), [](const Task& it) { return it.state == TaskState::Unresolved; });
-}
-
 wire::Outcome Submission::outcome() const
 {
     wire::Outcome outcome;
@@ -181,7 +152,7 @@
         wire::TaskOutcome* it = outcome.add_tasks();
         it->set_index(m_spec.tasks[i].index());
         it->set_succeeded(m_tasks[i].state == TaskState::Succeeded);
-        it->set_verdict(toWire(m_tasks[i].verdict));
+        it->set_verdict(wire::toWire(m_tasks[i].verdict));
         it->set_reason(m_tasks[i].reason);
         if (!m_failed)
             it->set_output(m_tasks[i].output);
--- a/fescuegw/dispatch/Submission.h
+++ b/fescuegw/dispatch/Submission.h
@@ -104,7 +104,6 @@
 
     bool settled() const { return m_settled == m_tasks.size(); }
     bool failed() const { return m_failed; }
-    bool hasUnresolved() const;
 
     // Returns the answer. Requires settled(). Complete answers have every task's output; failed ones have none.
     wire::Outcome outcome() const;
@@ -137,8 +136,4 @@
     std::string m_reason;
 };
 
-// Returns the wire form of `verdict`, and back.
-wire::Verdict toWire(Verdict);
-Verdict fromWire(wire::Verdict);
-
 } // namespace fescuegw::dispatch
--- a/fescuegw/entry/Call.cpp
+++ b/fescuegw/entry/Call.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "fescuegw/trace/Trace.h"
+#include "fescuegw/wire/Verdicts.h"
 
 namespace fescuegw::entry {
 
@@ -189,7 +189,7 @@
             if (outcome.complete()) {
                 task["output"] = it.output();
             } else {
-                task["verdict"] = toString(dispatch::fromWire(it.verdict()));
+                task["verdict"] = toString(wire::fromWire(it.verdict()));
                 if (!it.reason().empty())
                     task["reason"] = it.reason();
             }
@@ -204,8 +204,7 @@
         if (call.kind == CallKind::SingleRequest) {
             if (outcome.complete() && outcome.tasks_size() == 1)
                 return http::Response { 200, json { { "output", outcome.tasks(0).output() } }.dump(-1, ' ', false, replace) };
-            const Verdict verdict
-                = outcome.tasks_size() == 1 ? dispatch::fromWire(outcome.tasks(0).verdict()) : Verdict::MayHaveRun;
+            const Verdict verdict = outcome.tasks_size() == 1 ? wire::fromWire(outcome.tasks(0).verdict()) : Verdict::MayHaveRun;
             return http::problem({ verdict, statusBadGateway, outcome.reason() });
         }
         json body = { { "team", outcome.team() }, { "id", outcome.id() }, { "service", outcome.service() },
--- a/fescuegw/entry/CallRouter.cpp
+++ b/fescuegw/entry/CallRouter.cpp
@@ -8,6 +8,7 @@
 
     constexpr int statusNotFound = 404;
     constexpr int statusConflict = 409;
+    constexpr int statusGone = 410;
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
     constexpr Duration tickInterval = std::chrono::milliseconds(50);
@@ -100,8 +101,8 @@
         }
         dispatch::Reply done { dispatch::Reply::Kind::Done, claim.outcome(), {} };
         if (claim.answer_expired())
-            done
-                = { dispatch::Reply::Kind::Refused, {}, { Verdict::Ran, 410, "finished earlier; its answer is no longer kept" } };
+            done = { dispatch::Reply::Kind::Refused, {},
+                { Verdict::Ran, statusGone, "finished earlier; its answer is no longer kept" } };
         answer(id, renderReply(routed.call, done));
     });
 }
--- a/fescuegw/entry/EntryHttp.cpp
+++ b/fescuegw/entry/EntryHttp.cpp
@@ -21,6 +21,8 @@
     constexpr int statusConflict = 409;
     constexpr int statusUnavailable = 503;
     constexpr Duration statusMaximumAge = std::chrono::seconds(40);
+    // Heartbeats are answered several times in this time.
+    constexpr Duration contactMaximumAge = std::chrono::seconds(3);
     constexpr std::string_view teamsPrefix = "/v1/teams/";
     constexpr std::string_view questionnaireSuffix = "/questionnaire";
 
@@ -92,33 +94,40 @@
         respond(http::problem(call.error()));
         return;
     }
-    const auto answer = [this, respond, parent, span, startUs](const http::Response* response) {
+    const AnswerHook answer = [this, respond, parent, span, startUs](const http::Response* response) {
         // A caller of this entry is always answered: its calls are forwarded until then.
         m_recorder.record(parent, span, "entry", startUs, trace::wallClockUs(), response->status < 400);
         respond(*response);
     };
-    m_hub->post([this, call = std::move(*call), request = std::move(request), answer, respond](TimePoint now) {
-        if (!m_dispatcher->hasView()) {
-            respond(http::problem({ Verdict::NotRun, statusUnavailable, "no configuration is confirmed yet" }));
-            return;
-        }
-        const bool starts = call.kind == CallKind::Submit || call.kind == CallKind::SingleRequest;
-        if (starts && m_dispatcher->team(call.key.team) == nullptr) {
-            respond(http::problem({ Verdict::NotRun, statusNotFound, "unknown team " + call.key.team }));
-            return;
-        }
-        bool known = false;
-        for (const auto& team : m_dispatcher->view().teams())
-            for (const auto& service : team.services())
-                known = known || service.name() == call.service;
-        if (starts && !known && m_dispatcher->owner(call.service).empty()) {
-            respond(http::problem({ Verdict::NotRun, statusNotFound, "unknown service " + call.service }));
+    m_hub->post([this, call = std::move(*call), request = std::move(request), answer](TimePoint now) {
+        if (const auto error = refusal(call)) {
+            const http::Response response = http::problem(*error);
+            answer(&response);
             return;
         }
         m_router->accept(now, call, request, answer);
     });
 }
 
+// A call that no owner could ever take. Submissions that ran under a configuration that is gone are still found: their service
+// keeps its owner.
+std::optional<Error> EntryServer::refusal(const Call& call) const
+{
+    if (!m_dispatcher->hasView())
+        return Error { Verdict::NotRun, statusUnavailable, "no configuration is confirmed yet" };
+    if (call.kind != CallKind::Submit && call.kind != CallKind::SingleRequest)
+        return std::nullopt;
+    if (m_dispatcher->team(call.key.team) == nullptr)
+        return Error { Verdict::NotRun, statusNotFound, "unknown team " + call.key.team };
+    if (!m_dispatcher->owner(call.service).empty())
+        return std::nullopt;
+    for (const auto& team : m_dispatcher->view().teams())
+        for (const auto& service : team.services())
+            if (service.name() == call.service)
+                return std::nullopt;
+    return Error { Verdict::NotRun, statusNotFound, "unknown service " + call.service };
+}
+
 bool EntryServer::isOperator(const http::Request& request) const
 {
     return equalSecrets(request.authorization, "Bearer " + m_settings.operatorToken);
@@ -234,6 +243,15 @@
         services.push_back({ { "service", it.service() }, { "owner", it.owner() }, { "epoch", it.epoch() } });
     json body = { { "entry", m_identity }, { "configuration_version", m_dispatcher->view().configuration_version() },
         { "services", services }, { "agents", renderAgents(m_dispatcher->agents(now, statusMaximumAge)) } };
+    // Cut off from the state group, the entry says so instead of waiting for it.
+    const TimePoint* contact = m_state->lastContact();
+    if (contact == nullptr || now - *contact > contactMaximumAge) {
+        body["group"] = renderGroup({});
+        body["state_contact"] = false;
+        respond(http::Response { 200, body.dump() });
+        return;
+    }
+    body["state_contact"] = true;
     wire::StateRequest request;
     request.mutable_group_status();
     m_state->request(now, request, [respond, body](TimePoint, const wire::StateReply& reply) mutable {
--- a/fescuegw/entry/EntryServer.h
+++ b/fescuegw/entry/EntryServer.h
@@ -4,7 +4,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +63,9 @@
     void handleOperator(const http::Request&, const http::Responder&);
     bool isOperator(const http::Request&) const;
 
+    // Link thread: what refuses a call at once.
+    std::optional<Error> refusal(const Call&) const;
+
     // Operators' requests, on the link thread.
     void applyQuestionnaire(TimePoint now, const wire::ApplyConfiguration&, const http::Responder&);
     void answerStatus(TimePoint now, const http::Responder&);
--- a/fescuegw/questionnaire/Questionnaire.cpp
+++ b/fescuegw/questionnaire/Questionnaire.cpp
@@ -105,24 +105,6 @@
     return configuration;
 }
 
-std::string difference(const wire::TeamConfiguration& before, const wire::TeamConfiguration& after)
-{
-    const Lines old = linesOf(before);
-    const Lines next = linesOf(after);
-    std::ostringstream out;
-    for (const auto& it : old)
-        if (!next.contains(it.first))
-            out << "- " << it.first << " = " << it.second << '\n';
-    for (const auto& it : next) {
-        const auto found = old.find(it.first);
-        if (found == old.end())
-            out << "+ " << it.first << " = " << it.second << '\n';
-        else if (found->second != it.second)
-            out << "~ " << it.first << " = " << found->second << " -> " << it.second << '\n';
-    }
-    return out.str();
-}
-
 std::string describe(const wire::TeamConfiguration& configuration)
 {
     std::ostringstream out;
--- a/fescuegw/questionnaire/Questionnaire.h
+++ b/fescuegw/questionnaire/Questionnaire.h
@@ -13,9 +13,6 @@
 // "file:line: section.key: what is allowed". `file` stands for the questionnaire in messages.
 tl::expected<wire::TeamConfiguration, std::string> plan(const std::string& file, const std::string& text);
 
-// Returns one line for each difference between two configurations of a team; "" when there is none.
-std::string difference(const wire::TeamConfiguration& before, const wire::TeamConfiguration& after);
-
 // Returns the settings of `configuration`, one "key = value" a line, in a fixed order.
 std::string describe(const wire::TeamConfiguration& configuration);
 
--- /dev/null
+++ b/fescuegw/wire/Verdicts.h
@@ -0,0 +1,37 @@
+// Verdicts between their own type and their form in messages.
+#pragma once
+
+#include <registry.pb.h>
+
+#include "fescuegw/base/Types.h"
+
+namespace fescuegw::wire {
+
+// Returns the wire form of `verdict`.
+inline Verdict toWire(fescuegw::Verdict verdict)
+{
+    switch (verdict) {
+    case fescuegw::Verdict::NotRun:
+        return NOT_RUN;
+    case fescuegw::Verdict::MayHaveRun:
+        return MAY_HAVE_RUN;
+    case fescuegw::Verdict::Ran:
+        return RAN;
+    }
+    return MAY_HAVE_RUN;
+}
+
+// Returns the verdict that `verdict` stands for; MayHaveRun for whatever a later version may add.
+inline fescuegw::Verdict fromWire(Verdict verdict)
+{
+    switch (verdict) {
+    case NOT_RUN:
+        return fescuegw::Verdict::NotRun;
+    case RAN:
+        return fescuegw::Verdict::Ran;
+    default:
+        return fescuegw::Verdict::MayHaveRun;
+    }
+}
+
+} // namespace fescuegw::wire
