A new state leader no longer makes entries drop their links; forwarded calls are sent again after 5 s

A new leader answers the first heartbeat with a list of live entries that holds only the sender; the entry closed its link to the owner, and the answers of its forwarded calls had nowhere to go. Change: the list is sent only once a lease has passed in the term; until then entries keep theirs. A forwarded call without an answer is sent again every 5 s, which is idempotent by its key.

--- a/fescuegw/entry/CallRouter.cpp
+++ b/fescuegw/entry/CallRouter.cpp
@@ -11,6 +11,8 @@
     constexpr int statusGone = 410;
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
+    // A forwarded call, or its answer, may have been lost with a link: it is sent again, which is idempotent by its key.
+    constexpr Duration forwardRepeat = std::chrono::seconds(5);
     constexpr Duration tickInterval = std::chrono::milliseconds(50);
     // Added to the caller's wait so that the owner's own "still running" comes first.
     constexpr Duration forwardGrace = std::chrono::milliseconds(1000);
@@ -137,6 +139,7 @@
 {
     Routed& routed = m_calls.at(id);
     routed.forwardedTo = owner;
+    routed.forwardedAt = now;
     routed.handedOver = true;
     ++m_forwarded;
     wire::ForwardRequest request;
@@ -217,11 +220,13 @@
     std::vector<uint64_t> expired;
     for (const auto& it : m_calls) {
         const Routed& routed = it.second;
-        const bool moved = !routed.forwardedTo.empty() && m_dispatcher.owner(routed.call.service) != routed.forwardedTo;
+        const bool forwarded = !routed.forwardedTo.empty();
+        const bool moved = forwarded && m_dispatcher.owner(routed.call.service) != routed.forwardedTo;
+        const bool overdue = forwarded && now - routed.forwardedAt >= forwardRepeat;
         const TimePoint end = routed.due + forwardGrace;
         if (now >= end)
             expired.push_back(it.first);
-        else if (routed.parked || moved)
+        else if (routed.parked || moved || overdue)
             again.push_back(it.first);
     }
     for (const uint64_t id : expired)
--- a/fescuegw/entry/CallRouter.h
+++ b/fescuegw/entry/CallRouter.h
@@ -52,6 +52,7 @@
         bool handedOver = false;
         bool parked = false;
         std::string forwardedTo;
+        TimePoint forwardedAt;
         http::Request request;
     };
 
--- a/fescuegw/entry/EntryServer.cpp
+++ b/fescuegw/entry/EntryServer.cpp
@@ -138,7 +138,9 @@
         m_hub->send({ net::Peer::Direction::Connected, replica }, envelope.SerializeAsString());
     };
     stateHooks.onView = [this](TimePoint now, const wire::View& view) {
-        connectEntries(view);
+        // Without a list of entries the known one stays.
+        if (view.entries_size() > 0)
+            connectEntries(view);
         m_dispatcher->onView(now, view);
     };
     m_state = std::make_unique<StateClient>(StateClientOptions(), replicas, stateHooks);
--- a/fescuegw/state/OwnershipPolicy.cpp
+++ b/fescuegw/state/OwnershipPolicy.cpp
@@ -37,7 +37,7 @@
 std::vector<wire::Ownership> OwnershipPolicy::assignments(TimePoint now, const registry::Registry& registry)
 {
     std::vector<wire::Ownership> assignments;
-    if (now < m_judgeFrom)
+    if (!settled(now))
         return assignments;
     std::map<std::string, size_t> load;
     for (const auto& it : m_entries)
--- a/fescuegw/state/OwnershipPolicy.h
+++ b/fescuegw/state/OwnershipPolicy.h
@@ -27,6 +27,9 @@
     // Returns the assignments to propose now. An assignment is proposed again only after a lease without effect.
     std::vector<wire::Ownership> assignments(TimePoint now, const registry::Registry&);
 
+    // Returns whether a lease has passed since the term began, so that the live entries are known.
+    bool settled(TimePoint now) const { return now >= m_judgeFrom; }
+
     // Returns the live entries, and a number that changes whenever they do.
     std::vector<wire::EntryInfo> entries(TimePoint now) const;
     uint64_t entriesRevision(TimePoint now);
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -275,12 +275,16 @@
 {
     m_policy.onHeartbeat(now, heartbeat);
     wire::HeartbeatReply reply;
-    const uint64_t entriesRevision = m_policy.entriesRevision(now);
+    // A new leader has not heard all entries yet. A list that lacks some would make the others drop their links.
+    const bool settled = m_ledTerm == m_replica->term() && m_policy.settled(now);
+    const uint64_t entriesRevision = settled ? m_policy.entriesRevision(now) : heartbeat.known_entries_revision();
     if (heartbeat.known_revision() == m_registry.revision() && heartbeat.known_entries_revision() == entriesRevision)
         return reply;
     wire::View& view = *reply.mutable_view();
     view = m_registry.view();
     view.set_entries_revision(entriesRevision);
+    if (!settled)
+        return reply;
     for (const auto& it : m_policy.entries(now))
         *view.add_entries() = it;
     return reply;
