--- /dev/null
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -0,0 +1,103 @@
+// The process beside one upstream that serves best-effort jobs: links to entries and the state group, calls to the upstream.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <control.pb.h>
+
+#include "fescuegw/arbiter/RunTable.h"
+#include "fescuegw/arbiter/UpstreamLink.h"
+#include "fescuegw/daemon/Daemon.h"
+#include "fescuegw/group/StateClient.h"
+#include "fescuegw/net/Hub.h"
+
+namespace fescuegw::arbiter {
+
+struct ArbiterSettings {
+    daemon::ProcessSettings process;
+    // Where replicas of the state group may be found.
+    std::vector<settings::Address> seeds;
+    // Between two offers to each entry.
+    Duration offerInterval {};
+    // Threads that send orders to the upstream.
+    size_t orderThreads = 0;
+    // A graceful stop ends after this at the latest.
+    Duration drainLimit {};
+};
+
+// Reads the sections [agent] and [formation]; faults are kept by `document`.
+ArbiterSettings readArbiterSettings(settings::Document& document);
+
+// The link thread, which calls `run`, decides; the upstream's threads wait for it.
+class ArbiterServer {
+public:
+    // `connect` returns calls to the upstream over a connection of their own.
+    ArbiterServer(ArbiterSettings, const std::function<UpstreamCalls()>& connect, daemon::Metrics&);
+
+    Result<void> start();
+    int run();
+    // Starts the graceful stop: nothing new, what runs ends, results are handed over.
+    void stop();
+
+    // The upstream's account of itself. `accepted` tells whether it was taken over, on the link thread. Thread-safe.
+    void announce(Announcement, std::function<void(bool accepted)> accepted);
+    void depart(std::string instance);
+
+    void updateSeeds(const std::vector<settings::Address>&);
+    bool ready() const { return m_ready; }
+
+private:
+    // Reports to one entry process that it has not acknowledged.
+    struct EntryLink {
+        std::string address;
+        // Identity of the process that last spoke on this link.
+        std::string entry;
+        bool listed = true;
+        TimePoint heard;
+        TimePoint offerDue;
+        TimePoint resendDue;
+        uint64_t seenSequence = 0;
+        uint64_t firstReport = 1;
+        std::vector<wire::AttemptReport> reports;
+        bool urgent = false;
+    };
+
+    void onMessage(TimePoint now, const net::Peer&, const std::string&);
+    void onEntryMessage(TimePoint now, EntryLink&, const wire::EntryToUpstream&);
+    void onBatchEnd(TimePoint now);
+    void onView(TimePoint now, const wire::View&);
+    void expireLinks(TimePoint now);
+    void report(const std::string& entry, const wire::AttemptReport&);
+    void sendOffers(TimePoint now);
+    bool drained(TimePoint now) const;
+
+    ArbiterSettings m_settings;
+    AgentId m_identity;
+    std::function<UpstreamCalls()> m_connect;
+    RunTable m_table;
+    std::unique_ptr<net::Hub> m_hub;
+    std::unique_ptr<group::StateClient> m_state;
+    std::unique_ptr<UpstreamLink> m_upstream;
+    // Links to entries, by name.
+    std::map<std::string, EntryLink> m_links;
+    bool m_draining = false;
+    TimePoint m_drainUntil;
+    std::atomic<bool> m_ready { false };
+    bool m_holdFailed = false;
+
+    prometheus::Counter& m_done;
+    prometheus::Counter& m_failed;
+    prometheus::Counter& m_lost;
+    prometheus::Counter& m_notStarted;
+    prometheus::Gauge& m_running;
+    prometheus::Gauge& m_waiting;
+    prometheus::Histogram& m_wait;
+    prometheus::Histogram& m_run;
+};
+
+} // namespace fescuegw::arbiter
--- a/fescuegw/base/Types.cpp
+++ b/fescuegw/base/Types.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <cstdio>
+#include <ctime>
 #include <random>
 
 #include <xxhash.h>
@@ -18,7 +20,13 @@
 
 } // namespace
 
-TimePoint monotonicNow() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+// A host may be suspended while leases and timeouts run on elsewhere; CLOCK_MONOTONIC leaves that time out.
+TimePoint monotonicNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
 
 uint64_t wallClockMs()
 {
@@ -43,6 +51,21 @@
 
 std::string toString(const AgentId& agent) { return agent.name + "/" + std::to_string(agent.incarnation); }
 
+std::string toString(const StepTask& task)
+{
+    return task.job + "/" + std::to_string(task.step) + "/" + std::to_string(task.index);
+}
+
+AgentId parseAgentId(const std::string& text)
+{
+    const size_t slash = text.rfind('/');
+    AgentId agent;
+    agent.name = text.substr(0, slash);
+    if (slash != std::string::npos)
+        std::from_chars(text.data() + slash + 1, text.data() + text.size(), agent.incarnation);
+    return agent;
+}
+
 bool isValidName(std::string_view text)
 {
     return !text.empty() && text.size() <= maximumNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
--- a/fescuegw/base/Types.h
+++ b/fescuegw/base/Types.h
@@ -15,7 +15,7 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-// Returns the present monotonic time. Only daemons' loops call this; deciding functions take the time as an argument.
+// Returns the present monotonic time, which counts time spent suspended. Only daemons' loops call this; deciding functions take the time as an argument.
 TimePoint monotonicNow();
 
 // Returns the wall clock in milliseconds since 1970.
@@ -64,6 +64,21 @@
 // Returns "name/incarnation".
 std::string toString(const AgentId&);
 
+// Returns the agent in "name/incarnation".
+AgentId parseAgentId(const std::string& text);
+
+// Names one task of a job that consists of steps.
+struct StepTask {
+    std::string job;
+    uint32_t step = 0;
+    uint32_t index = 0;
+
+    friend auto operator<=>(const StepTask&, const StepTask&) = default;
+};
+
+// Returns "job/step/index".
+std::string toString(const StepTask&);
+
 // Returns whether `text` may name a team, service, submission or process: 1 to 96 of [A-Za-z0-9._-].
 bool isValidName(std::string_view text);
 
--- a/fescuegw/daemon/Daemon.cpp
+++ b/fescuegw/daemon/Daemon.cpp
@@ -15,12 +15,13 @@
 
     constexpr int statusUnavailable = 503;
 
-    sigset_t stopSignals()
+    sigset_t handledSignals()
     {
         sigset_t set;
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         return set;
     }
 
@@ -69,6 +70,15 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add({ { "process", m_process } });
 }
 
+prometheus::Histogram& Metrics::latency(const std::string& name, const std::string& help, const std::string& kind)
+{
+    prometheus::Labels labels { { "process", m_process } };
+    if (!kind.empty())
+        labels["kind"] = kind;
+    const prometheus::Histogram::BucketBoundaries bounds { 5, 10, 20, 40, 80, 150, 300, 600, 1200, 2500, 5000, 10000 };
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(m_registry).Add(labels, bounds);
+}
+
 std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(m_registry.Collect()); }
 
 std::optional<http::Response> answerAdministrative(const http::Request& request, bool ready, const Metrics& metrics)
@@ -86,7 +96,7 @@
 
 StopSignal::StopSignal()
 {
-    const sigset_t set = stopSignals();
+    const sigset_t set = handledSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -100,15 +110,19 @@
     }
 }
 
-void StopSignal::onStop(std::function<void()> hook)
+void StopSignal::onStop(std::function<void()> hook, std::function<void()> reload)
 {
-    m_thread = std::thread([this, hook = std::move(hook)] {
-        const sigset_t set = stopSignals();
+    m_thread = std::thread([this, hook = std::move(hook), reload = std::move(reload)] {
+        const sigset_t set = handledSignals();
         while (!m_finished) {
             int signal = 0;
             sigwait(&set, &signal);
-            if (!m_finished)
+            if (m_finished)
+                return;
+            if (signal != SIGHUP)
                 hook();
+            else if (reload)
+                reload();
         }
     });
 }
--- a/fescuegw/daemon/Daemon.h
+++ b/fescuegw/daemon/Daemon.h
@@ -11,6 +11,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include "fescuegw/base/Types.h"
@@ -47,6 +48,9 @@
     prometheus::Counter& counter(const std::string& name, const std::string& help, const std::string& kind = "");
     prometheus::Gauge& gauge(const std::string& name, const std::string& help);
 
+    // A histogram of milliseconds with bounds from 5 ms to 10 s, each about twice the one before.
+    prometheus::Histogram& latency(const std::string& name, const std::string& help, const std::string& kind = "");
+
     // Returns all metrics in the Prometheus text format.
     std::string text() const;
 
@@ -58,8 +62,8 @@
 // Returns the answer to GET /healthz, /readyz or /metrics, or nothing for another path.
 std::optional<http::Response> answerAdministrative(const http::Request&, bool ready, const Metrics&);
 
-// Calls `onStop` on a thread of its own when the process is asked to stop by SIGTERM or SIGINT. Construct before any other
-// thread starts: the signals are blocked from then on.
+// Calls hooks on a thread of its own when the process is asked to stop by SIGTERM or SIGINT, or to read its settings again by
+// SIGHUP. Construct before any other thread starts: the signals are blocked from then on.
 class StopSignal {
 public:
     StopSignal();
@@ -69,7 +73,7 @@
     StopSignal(StopSignal&&) = delete;
     StopSignal& operator=(StopSignal&&) = delete;
 
-    void onStop(std::function<void()> hook);
+    void onStop(std::function<void()> hook, std::function<void()> reload = {});
 
 private:
     std::thread m_thread;
--- /dev/null
+++ b/fescuegw/direct/Admission.cpp
@@ -0,0 +1,40 @@
+#include "fescuegw/direct/Admission.h"
+
+#include <algorithm>
+
+namespace fescuegw::direct {
+
+Duration longestChain(const JobSpecification& job)
+{
+    std::vector<Duration> ends;
+    Duration longest {};
+    for (const auto& step : job.steps) {
+        Duration start {};
+        for (const uint32_t it : step.after)
+            start = std::max(start, ends[it]);
+        ends.push_back(start + std::chrono::milliseconds(step.estimateMs));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+Duration Admission::objective(const JobRequest& request) const
+{
+    return longestChain(request.job) * request.route.stretch_percent() / 100
+        + std::chrono::milliseconds(request.route.latency_target_ms());
+}
+
+Duration Admission::usefulFor(const JobRequest& request) const
+{
+    const Duration limit = std::min(request.patience, Duration(std::chrono::milliseconds(request.route.timeout_ms())));
+    return std::min(limit, m_options.lateObjectives * objective(request));
+}
+
+uint32_t Admission::retryAfter(const JobRequest& request, Duration finish) const
+{
+    const Duration excess = std::max(finish - usefulFor(request), Duration());
+    const auto s = std::chrono::duration_cast<std::chrono::seconds>(excess).count() + 1;
+    return std::clamp(static_cast<uint32_t>(s), m_options.leastRetryS, m_options.mostRetryS);
+}
+
+} // namespace fescuegw::direct
--- /dev/null
+++ b/fescuegw/direct/DirectServer.cpp
@@ -0,0 +1,334 @@
+#include "fescuegw/direct/DirectServer.h"
+
+#include <algorithm>
+
+#include "fescuegw/group/Seeds.h"
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::direct {
+
+using logging::Event;
+using logging::Level;
+
+namespace {
+
+    constexpr std::string_view replicaPrefix = "replica-";
+    // A silent link is opened anew well within an agent's lease for this entry.
+    constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
+
+    Answer answerOf(Answer::Kind kind, const std::string& reason = "")
+    {
+        Answer answer;
+        answer.kind = kind;
+        answer.reason = reason;
+        return answer;
+    }
+
+    Answer answerOf(const JobOutcome& outcome)
+    {
+        Answer answer;
+        answer.kind = Answer::Kind::Job;
+        answer.outcome = outcome;
+        return answer;
+    }
+
+    std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
+
+} // namespace
+
+DirectSettings readDirectSettings(settings::Document& document)
+{
+    DirectSettings settings;
+    settings.process = daemon::readProcessSettings(document);
+    settings.listen = document.address("entry", "listen");
+    settings.balancerGrace = std::chrono::milliseconds(document.numberOr("entry", "balancer-grace-ms", 3000, 0, 600000));
+    settings.drainLimit = std::chrono::milliseconds(document.numberOr("entry", "drain-limit-ms", 5500, 0, 3600000));
+    settings.seeds = group::readSeeds(document);
+    return settings;
+}
+
+struct DirectServer::Counters {
+    explicit Counters(daemon::Metrics& metrics)
+        : completed(metrics.counter("fescuegw_entry_jobs_total", "Jobs answered, by outcome", "completed"))
+        , failed(metrics.counter("fescuegw_entry_jobs_total", "Jobs answered, by outcome", "failed"))
+        , notRun(metrics.counter("fescuegw_entry_jobs_total", "Jobs answered, by outcome", "not-run"))
+        , mayHaveRun(metrics.counter("fescuegw_entry_jobs_total", "Jobs answered, by outcome", "may-have-run"))
+        , abandoned(metrics.counter("fescuegw_entry_jobs_total", "Jobs answered, by outcome", "abandoned"))
+        , inFlight(metrics.gauge("fescuegw_entry_jobs_in_flight", "Jobs that wait or run"))
+        , agents(metrics.gauge("fescuegw_entry_agents", "Agents heard of"))
+        , routing(metrics.gauge("fescuegw_entry_routing_version", "Routing in force here"))
+        , notStarted(metrics.gauge("fescuegw_entry_attempts_not_started", "Attempts that agents gave back"))
+        , failedAttempts(metrics.gauge("fescuegw_entry_attempts_failed", "Attempts that failed"))
+        , lostAttempts(metrics.gauge("fescuegw_entry_attempts_lost", "Attempts that ended without a result"))
+        , completedMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "completed"))
+        , otherMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "other"))
+    {
+    }
+
+    prometheus::Counter& of(JobOutcome::Kind kind)
+    {
+        switch (kind) {
+        case JobOutcome::Kind::Completed:
+            return completed;
+        case JobOutcome::Kind::Failed:
+            return failed;
+        case JobOutcome::Kind::NotRun:
+            return notRun;
+        case JobOutcome::Kind::MayHaveRun:
+            return mayHaveRun;
+        case JobOutcome::Kind::Abandoned:
+            return abandoned;
+        }
+        return mayHaveRun;
+    }
+
+    prometheus::Counter &completed, &failed, &notRun, &mayHaveRun, &abandoned;
+    prometheus::Gauge &inFlight, &agents, &routing, &notStarted, &failedAttempts, &lostAttempts;
+    prometheus::Histogram &completedMs, &otherMs;
+};
+
+DirectServer::DirectServer(DirectSettings settings, daemon::Metrics& metrics)
+    : m_settings(std::move(settings))
+    , m_identity(m_settings.process.name + "/" + std::to_string(wallClockMs()))
+    , m_random(randomIdentity())
+    , m_jobs({},
+          JobTableHooks {
+              [this](const AgentId& agent, wire::EntryToUpstream message) {
+                  message.set_entry(m_identity);
+                  m_hub->send({ net::Peer::Direction::Accepted, toString(agent) }, message.SerializeAsString());
+              },
+              [this](uint64_t bound) { return m_random() % bound; },
+              [this](const JobRequest& request, const JobOutcome& outcome, Duration took) { onJobEnd(request, outcome, took); },
+          })
+    , m_counters(std::make_shared<Counters>(metrics))
+{
+}
+
+void DirectServer::onJobEnd(const JobRequest& /*request*/, const JobOutcome& outcome, Duration took)
+{
+    const auto ms = static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+    m_counters->of(outcome.kind).Increment();
+    (outcome.kind == JobOutcome::Kind::Completed ? m_counters->completedMs : m_counters->otherMs).Observe(ms);
+}
+
+wire::EntryInfo DirectServer::self() const
+{
+    wire::EntryInfo info;
+    info.set_entry(m_identity);
+    info.set_address(m_settings.listen.text());
+    info.set_draining(m_draining);
+    return info;
+}
+
+Result<void> DirectServer::start()
+{
+    net::HubHooks hooks;
+    hooks.onMessage = [this](TimePoint now, const net::Peer& peer, const std::string& m) { onMessage(now, peer, m); };
+    hooks.onUndeliverable = [this](TimePoint now, const net::Peer& peer, const std::string& m) { onUndeliverable(now, peer, m); };
+    hooks.onBatchEnd = [this](TimePoint now) { onBatchEnd(now); };
+    net::HubOptions options;
+    options.identity = "entry:" + m_identity;
+    options.listen = m_settings.listen.text();
+    options.keys = m_settings.process.keys;
+    options.silenceLimit = silenceLimit;
+    m_hub = std::make_unique<net::Hub>(options, hooks);
+    if (auto started = m_hub->start(); !started)
+        return started;
+
+    std::vector<std::string> replicas;
+    for (const auto& it : m_settings.seeds) {
+        replicas.push_back(it.text());
+        m_hub->connect(replicaLink(it.text()), it.text());
+    }
+    group::StateClientHooks stateHooks;
+    stateHooks.send = [this](const std::string& replica, const wire::StateRequest& request) {
+        wire::StateEnvelope envelope;
+        *envelope.mutable_request() = request;
+        m_hub->send({ net::Peer::Direction::Connected, replicaLink(replica) }, envelope.SerializeAsString());
+    };
+    stateHooks.onView = [](TimePoint, const wire::View&) {};
+    stateHooks.onRouting = [this](TimePoint, const wire::Routing& routing) {
+        if (m_routes.replace(routing))
+            Event(Level::Info, "routing_in_force").with("version", routing.version()).with("routes", routing.routes_size());
+    };
+    stateHooks.onReplica = [this](const std::string& replica) { m_hub->connect(replicaLink(replica), replica); };
+    stateHooks.onReachable = [this](TimePoint, bool reachable) {
+        Event(reachable ? Level::Info : Level::Warn, reachable ? "state_group_reachable" : "state_group_lost")
+            .with("routing_version", m_routes.version());
+    };
+    m_state = std::make_unique<group::StateClient>(group::StateClientOptions(), replicas, stateHooks);
+    Event(Level::Info, "entry_started").with("identity", m_identity).with("seeds", m_settings.seeds.size());
+    return {};
+}
+
+int DirectServer::run()
+{
+    m_hub->run();
+    Event(Level::Info, "entry_stopped").with("jobs", m_jobs.size());
+    return 0;
+}
+
+void DirectServer::stop(std::function<void()> onQuiet)
+{
+    m_hub->post([this, onQuiet = std::move(onQuiet)](TimePoint now) {
+        if (m_draining)
+            return;
+        m_draining = true;
+        m_ready = false;
+        m_onQuiet = onQuiet;
+        m_quietAt = now + m_settings.balancerGrace;
+        m_drainUntil = now + m_settings.drainLimit;
+        Event(Level::Info, "entry_draining").with("jobs", m_jobs.size());
+    });
+}
+
+void DirectServer::updateSeeds(const std::vector<settings::Address>& seeds)
+{
+    std::vector<std::string> replicas;
+    for (const auto& it : seeds)
+        replicas.push_back(it.text());
+    m_hub->post([this, replicas](TimePoint /*now*/) { m_state->addReplicas(replicas); });
+}
+
+std::string DirectServer::unsupported(const JobSpecification& job)
+{
+    constexpr uint32_t mostTasks = 840;
+    uint64_t tasks = 0;
+    for (const auto& it : job.steps)
+        tasks += it.count;
+    if (!job.bestEffort)
+        return "jobs that are kept are not served";
+    if (job.occurrences > 0)
+        return "jobs with set times are not served";
+    if (!job.traits.empty())
+        return "steps of this kind are not served: " + std::string(toString(job.traits.front()));
+    if (tasks == 0 || tasks > mostTasks)
+        return "tasks: 1 to " + std::to_string(mostTasks);
+    return "";
+}
+
+std::optional<RouteMatch> DirectServer::match(const std::string& host, const std::string& path, const AnswerHook& answer) const
+{
+    if (m_routes.version() == 0) {
+        answer(answerOf(Answer::Kind::NotReady, "no_routing"));
+        return std::nullopt;
+    }
+    auto found = m_routes.find(host, path);
+    if (!found)
+        answer(answerOf(Answer::Kind::NoSuchQueue));
+    return found;
+}
+
+void DirectServer::submit(Submission submission, AnswerHook answer)
+{
+    m_hub->post([this, submission = std::move(submission), answer = std::move(answer)](TimePoint now) {
+        accept(now, submission, answer);
+    });
+}
+
+void DirectServer::accept(TimePoint now, const Submission& submission, const AnswerHook& answer)
+{
+    const auto found = match(submission.host, submission.path, answer);
+    if (!found)
+        return;
+    std::string fault = found->rest.empty() ? "a job needs an id" : unsupported(submission.job);
+    if (found->route->advised())
+        fault = "queues with an advisor are not served";
+    if (!fault.empty()) {
+        Event(Level::Warn, "job_refused").with("request", found->rest).with("queue", found->route->name()).with("reason", fault);
+        answer(answerOf(Answer::Kind::Unsupported, fault));
+        return;
+    }
+    JobRequest request;
+    request.id = found->rest;
+    request.route = *found->route;
+    request.job = submission.job;
+    request.patience = submission.patience.value_or(std::chrono::milliseconds(found->route->timeout_ms()));
+    request.exchange = submission.exchange;
+    m_jobs.submit(
+        now, std::move(request), [answer](const JobOutcome& outcome) { answer(answerOf(outcome)); });
+}
+
+// Only best-effort jobs are taken, which wait in no queue and leave nothing behind.
+void DirectServer::look(std::string host, std::string path, AnswerHook answer)
+{
+    m_hub->post([this, host = std::move(host), path = std::move(path), answer = std::move(answer)](TimePoint /*now*/) {
+        const auto found = match(host, path, answer);
+        if (found)
+            answer(answerOf(found->rest.empty() ? Answer::Kind::Queue : Answer::Kind::NoSuchJob));
+    });
+}
+
+void DirectServer::cancel(std::string host, std::string path, AnswerHook answer)
+{
+    m_hub->post([this, host = std::move(host), path = std::move(path), answer = std::move(answer)](TimePoint now) {
+        const auto found = match(host, path, answer);
+        if (!found)
+            return;
+        const bool cancelled = m_jobs.cancel(now, found->rest);
+        Event(Level::Info, "cancel").with("request", found->rest).with("found", cancelled ? "yes" : "no");
+        answer(answerOf(cancelled ? Answer::Kind::Cancelled : Answer::Kind::NoSuchJob));
+    });
+}
+
+void DirectServer::abandon(uint64_t exchange)
+{
+    m_hub->post([this, exchange](TimePoint now) { m_jobs.abandon(now, exchange); });
+}
+
+void DirectServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
+{
+    if (peer.direction == net::Peer::Direction::Connected) {
+        wire::StateEnvelope envelope;
+        if (envelope.ParseFromString(content) && envelope.has_reply())
+            m_state->onReply(now, peer.name.substr(replicaPrefix.size()), envelope.reply());
+        else
+            Event(Level::Warn, "malformed_message").with("peer", peer.name);
+        return;
+    }
+    wire::UpstreamToEntry message;
+    if (!message.ParseFromString(content)) {
+        Event(Level::Warn, "malformed_message").with("peer", peer.name);
+        return;
+    }
+    m_jobs.onAgent(now, message);
+}
+
+void DirectServer::onUndeliverable(TimePoint now, const net::Peer& peer, const std::string& content)
+{
+    wire::EntryToUpstream message;
+    if (peer.direction == net::Peer::Direction::Accepted && message.ParseFromString(content))
+        m_jobs.onUndeliverable(now, parseAgentId(peer.name), message);
+}
+
+bool DirectServer::drained(TimePoint now)
+{
+    if (!m_draining)
+        return false;
+    if (m_onQuiet && now >= m_quietAt) {
+        m_onQuiet();
+        m_onQuiet = nullptr;
+    }
+    if (now >= m_drainUntil)
+        Event(Level::Warn, "drain_abandoned").with("jobs", m_jobs.size()).with("verdict", "may-have-run");
+    return now >= m_drainUntil || (now >= m_quietAt && m_jobs.size() == 0);
+}
+
+void DirectServer::onBatchEnd(TimePoint now)
+{
+    m_jobs.tick(now);
+    m_jobs.flush(now);
+    m_state->flush(now, self());
+    m_ready = m_routes.version() > 0 && !m_draining;
+    const auto set = [](prometheus::Gauge& gauge, uint64_t n) { gauge.Set(static_cast<double>(n)); };
+    set(m_counters->inFlight, m_jobs.size());
+    set(m_counters->agents, m_jobs.offers().agents().size());
+    set(m_counters->routing, m_routes.version());
+    set(m_counters->notStarted, m_jobs.counters().notStarted);
+    set(m_counters->failedAttempts, m_jobs.counters().failedAttempts);
+    set(m_counters->lostAttempts, m_jobs.counters().lostAttempts);
+    if (drained(now))
+        m_hub->stop();
+}
+
+} // namespace fescuegw::direct
--- /dev/null
+++ b/fescuegw/direct/JobTable.h
@@ -0,0 +1,153 @@
+// The best-effort jobs of one entry, from their callers' requests to their answers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <direct.pb.h>
+
+#include "fescuegw/direct/Admission.h"
+#include "fescuegw/direct/Job.h"
+#include "fescuegw/direct/OfferBook.h"
+#include "fescuegw/direct/Placement.h"
+
+namespace fescuegw::direct {
+
+// docs/PLATFORM.md works out what these leases bound together.
+struct JobTableOptions {
+    AdmissionOptions admission;
+    PlacementOptions placement;
+    OfferBookOptions offers;
+    // This long after an agent was last heard, nothing runs that it started for this entry: the agent's lease for the entry,
+    // which counts from a clock that it sent, the upstream's own lease, and the time that stopping takes.
+    Duration certainEnd { std::chrono::milliseconds(1250) };
+    // An agent is told that this entry lives at most this often, and at least as often as its messages come.
+    Duration replySpacing { std::chrono::milliseconds(80) };
+    // Callers' requests that wait, at most: bounds memory when everything stands still.
+    size_t mostJobs = 20000;
+};
+
+struct JobTableHooks {
+    std::function<void(const AgentId&, wire::EntryToUpstream)> send;
+    // Returns a number below its argument.
+    std::function<uint64_t(uint64_t)> random;
+    // Called with the outcome and the time that the job took.
+    std::function<void(const JobRequest&, const JobOutcome&, Duration)> onEnd;
+};
+
+// Counts since the start of the process, for metrics.
+struct JobCounters {
+    uint64_t admitted = 0;
+    uint64_t refused = 0;
+    uint64_t started = 0;
+    uint64_t notStarted = 0;
+    uint64_t failedAttempts = 0;
+    uint64_t lostAttempts = 0;
+    uint64_t strayReports = 0;
+};
+
+// Starts each task at most once at a time: a further attempt follows only when the one before is certain not to run. The entry
+// that took a job keeps all that is known of it; agents end what an entry that they don't hear has started. Not thread-safe.
+class JobTable {
+public:
+    JobTable(JobTableOptions, JobTableHooks);
+
+    // Takes a job on, or answers it at once.
+    void submit(TimePoint now, JobRequest, JobResponder);
+    // Returns false when no such job is in flight here; else it ends, and its callers are told.
+    bool cancel(TimePoint now, const std::string& id);
+    // The caller on this connection has gone away.
+    void abandon(TimePoint now, uint64_t exchange);
+
+    void onAgent(TimePoint now, const wire::UpstreamToEntry&);
+    // A message never left this host.
+    void onUndeliverable(TimePoint now, const AgentId&, const wire::EntryToUpstream&);
+
+    void tick(TimePoint now);
+    // Sends what has gathered.
+    void flush(TimePoint now);
+
+    size_t size() const { return m_jobs.size(); }
+    const OfferBook& offers() const { return m_offers; }
+    const JobCounters& counters() const { return m_counters; }
+
+private:
+    enum class TaskState : uint8_t {
+        Pending,
+        // At an agent: waits there, or runs.
+        Sent,
+        Done,
+    };
+
+    struct Task {
+        TaskState state = TaskState::Pending;
+        uint32_t attempt = 0;
+        uint32_t failures = 0;
+        AgentId agent;
+        bool started = false;
+        bool stopping = false;
+        TimePoint sentAt;
+        std::set<AgentId> avoid;
+    };
+
+    struct Step {
+        std::vector<Task> tasks;
+        size_t done = 0;
+        std::map<AgentId, uint32_t> sharing;
+    };
+
+    struct Caller {
+        uint64_t exchange = 0;
+        JobResponder respond;
+    };
+
+    struct Job {
+        JobRequest request;
+        std::vector<Caller> callers;
+        std::vector<Step> steps;
+        TimePoint received;
+        TimePoint deadline;
+        // A task has run or may have.
+        bool mayHaveRun = false;
+        // Ended for its callers; only attempts that are not certain to have ended keep it.
+        bool answered = false;
+        // To be refused as soon as all attempts are known not to have started.
+        bool refusing = false;
+        std::string refusal;
+        uint32_t outstanding = 0;
+    };
+
+    using Jobs = std::map<std::string, Job>;
+
+    bool admit(TimePoint now, Job&);
+    bool isReady(const Job&, size_t step) const;
+    void startReady(TimePoint now, Job&);
+    void send(TimePoint now, Job&, size_t step, size_t index, const Placed&);
+    bool placeAgain(TimePoint now, Job&, size_t step, size_t index);
+    void applyReport(TimePoint now, const AgentId&, const wire::AttemptReport&);
+    void onNotStarted(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
+    void onFailed(TimePoint now, Job&, size_t step, size_t index);
+    void onLost(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
+    void onDone(TimePoint now, Job&, size_t step);
+    void giveUp(TimePoint now, Job&, const std::string& reason);
+    void answer(TimePoint now, Job&, JobOutcome);
+    void stopAttempts(TimePoint now, Job&);
+    void release(Task&);
+    void loseAgent(TimePoint now, const AgentId&, const std::string& reason);
+    wire::EntryToUpstream& outbox(const AgentId&);
+    void sweep();
+
+    JobTableOptions m_options;
+    JobTableHooks m_hooks;
+    Admission m_admission;
+    OfferBook m_offers;
+    Jobs m_jobs;
+    std::map<AgentId, wire::EntryToUpstream> m_outbox;
+    JobCounters m_counters;
+};
+
+} // namespace fescuegw::direct
--- /dev/null
+++ b/fescuegw/direct/OfferBook.cpp
@@ -0,0 +1,63 @@
+#include "fescuegw/direct/OfferBook.h"
+
+#include <algorithm>
+
+#include "fescuegw/wire/Direct.h"
+
+namespace fescuegw::direct {
+
+OfferBook::OfferBook(OfferBookOptions options)
+    : m_options(options)
+{
+}
+
+AgentView* OfferBook::onMessage(TimePoint now, const wire::UpstreamToEntry& message)
+{
+    const AgentId id { message.agent(), message.incarnation() };
+    const auto newer = m_agents.upper_bound(id);
+    if (newer != m_agents.end() && newer->first.name == id.name)
+        return nullptr;
+    AgentView& view = m_agents[id];
+    view.heard = now;
+    view.seenClockUs = std::max(view.seenClockUs, message.clock_us());
+    // A message that travelled longer makes the clock look less far ahead; the largest value is the nearest to the truth.
+    const Duration ahead = TimePoint(Duration(static_cast<int64_t>(message.clock_us()))) - now;
+    view.clockAhead = view.clockAhead == Duration() ? ahead : std::max(view.clockAhead, ahead);
+    view.offer = message.offer();
+    view.capacity = wire::toResources(message.offer().capacity());
+    view.free = wire::toResources(message.offer().free());
+    while (!view.unseen.empty() && view.unseen.front().first <= message.seen_sequence())
+        view.unseen.pop_front();
+    for (const auto& it : view.unseen)
+        view.free -= it.second;
+    return &view;
+}
+
+void OfferBook::onSent(AgentView& view, const Resources& need) const
+{
+    view.unseen.emplace_back(view.lastSequence + 1, need);
+    view.free -= need;
+    ++view.attempts;
+}
+
+std::vector<std::pair<const AgentId*, const AgentView*>> OfferBook::usable(TimePoint now, const std::string& service) const
+{
+    std::vector<std::pair<const AgentId*, const AgentView*>> list;
+    for (const auto& it : m_agents)
+        if (it.second.offer.accepting() && it.second.offer.service() == service && now - it.second.heard <= m_options.offerAge)
+            list.emplace_back(&it.first, &it.second);
+    return list;
+}
+
+AgentView* OfferBook::find(const AgentId& id)
+{
+    const auto it = m_agents.find(id);
+    return it == m_agents.end() ? nullptr : &it->second;
+}
+
+void OfferBook::expire(TimePoint now)
+{
+    std::erase_if(m_agents, [&](const auto& it) { return it.second.attempts == 0 && now - it.second.heard > m_options.memory; });
+}
+
+} // namespace fescuegw::direct
--- a/fescuegw/entry/CallRouter.cpp
+++ b/fescuegw/entry/CallRouter.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-CallRouter::CallRouter(std::string self, dispatch::Dispatcher& dispatcher, StateClient& state, RouterHooks hooks)
+CallRouter::CallRouter(std::string self, dispatch::Dispatcher& dispatcher, group::StateClient& state, RouterHooks hooks)
     : m_self(std::move(self))
     , m_dispatcher(dispatcher)
     , m_state(state)
--- a/fescuegw/entry/CallRouter.h
+++ b/fescuegw/entry/CallRouter.h
@@ -10,7 +10,7 @@
 
 #include "fescuegw/dispatch/Dispatcher.h"
 #include "fescuegw/entry/Call.h"
-#include "fescuegw/entry/StateClient.h"
+#include "fescuegw/group/StateClient.h"
 
 namespace fescuegw::entry {
 
@@ -25,7 +25,7 @@
 // single requests are idempotent by their keys, and others are repeatable. Not thread-safe: the entry's link thread owns it.
 class CallRouter {
 public:
-    CallRouter(std::string self, dispatch::Dispatcher&, StateClient&, RouterHooks);
+    CallRouter(std::string self, dispatch::Dispatcher&, group::StateClient&, RouterHooks);
 
     // Takes a call from a caller of this entry. `request` is what is forwarded.
     void accept(TimePoint now, Call, const http::Request& request, AnswerHook);
@@ -67,7 +67,7 @@
 
     std::string m_self;
     dispatch::Dispatcher& m_dispatcher;
-    StateClient& m_state;
+    group::StateClient& m_state;
     RouterHooks m_hooks;
     uint64_t m_nextId = 0;
     uint64_t m_forwarded = 0;
--- a/fescuegw/entry/EntryServer.cpp
+++ b/fescuegw/entry/EntryServer.cpp
@@ -16,23 +16,14 @@
     constexpr Duration handOverLimit = std::chrono::seconds(3);
     constexpr Duration metricsInterval = std::chrono::milliseconds(500);
 
-    std::string replicaName(uint64_t id) { return "replica-" + std::to_string(id); }
+    constexpr std::string_view replicaPrefix = "replica-";
+
+    std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
 
     std::string entryLink(const std::string& entry) { return "entry-" + entry; }
 
     Duration milliseconds(uint64_t n) { return std::chrono::milliseconds(n); }
 
-    // Agents connect under "name/incarnation".
-    AgentId parseAgent(const std::string& identity)
-    {
-        const size_t slash = identity.rfind('/');
-        AgentId agent;
-        agent.name = identity.substr(0, slash);
-        if (slash != std::string::npos)
-            std::from_chars(identity.data() + slash + 1, identity.data() + identity.size(), agent.incarnation);
-        return agent;
-    }
-
 } // namespace
 
 EntrySettings readEntrySettings(settings::Document& document)
@@ -128,14 +119,19 @@
         return started;
     std::vector<std::string> replicas;
     for (const auto& it : m_settings.replicas) {
-        replicas.push_back(replicaName(it.first));
-        m_hub->connect(replicas.back(), it.second.text());
+        replicas.push_back(it.second.text());
+        m_hub->connect(replicaLink(replicas.back()), replicas.back());
     }
-    StateClientHooks stateHooks;
+    group::StateClientHooks stateHooks;
     stateHooks.send = [this](const std::string& replica, const wire::StateRequest& request) {
         wire::StateEnvelope envelope;
         *envelope.mutable_request() = request;
-        m_hub->send({ net::Peer::Direction::Connected, replica }, envelope.SerializeAsString());
+        m_hub->send({ net::Peer::Direction::Connected, replicaLink(replica) }, envelope.SerializeAsString());
+    };
+    stateHooks.onReplica = [this](const std::string& replica) { m_hub->connect(replicaLink(replica), replica); };
+    stateHooks.onRouting = [](TimePoint, const wire::Routing&) {};
+    stateHooks.onReachable = [](TimePoint, bool reachable) {
+        Event(reachable ? Level::Info : Level::Warn, reachable ? "state_group_reachable" : "state_group_lost");
     };
     stateHooks.onView = [this](TimePoint now, const wire::View& view) {
         // Without a list of entries the known one stays.
@@ -143,7 +139,7 @@
             connectEntries(view);
         m_dispatcher->onView(now, view);
     };
-    m_state = std::make_unique<StateClient>(StateClientOptions(), replicas, stateHooks);
+    m_state = std::make_unique<group::StateClient>(group::StateClientOptions(), replicas, stateHooks);
 
     dispatch::DispatchHooks dispatchHooks;
     dispatchHooks.sendToAgent = [this](const AgentId& agent, const wire::EntryToAgent& message) {
@@ -236,10 +232,10 @@
 {
     m_gauges->messagesIn.Increment();
     m_gauges->bytesIn.Increment(static_cast<double>(content.size()));
-    if (peer.direction == net::Peer::Direction::Connected && peer.name.starts_with("replica-")) {
+    if (peer.direction == net::Peer::Direction::Connected && peer.name.starts_with(replicaPrefix)) {
         wire::StateEnvelope envelope;
         if (envelope.ParseFromString(content) && envelope.has_reply())
-            m_state->onReply(now, peer.name, envelope.reply());
+            m_state->onReply(now, peer.name.substr(replicaPrefix.size()), envelope.reply());
         return;
     }
     wire::EntryEnvelope envelope;
@@ -258,11 +254,11 @@
 void EntryServer::onUndeliverable(TimePoint now, const net::Peer& peer, const std::string& content)
 {
     wire::EntryEnvelope envelope;
-    const bool toState = peer.name.starts_with("replica-");
+    const bool toState = peer.name.starts_with(replicaPrefix);
     if (toState || !envelope.ParseFromString(content))
         return;
     if (envelope.has_to_agent())
-        m_dispatcher->onUndeliverable(now, parseAgent(peer.name), envelope.to_agent());
+        m_dispatcher->onUndeliverable(now, parseAgentId(peer.name), envelope.to_agent());
     else if (envelope.has_forward())
         m_router->onForwardUndeliverable(now, envelope.forward().forward_id());
 }
--- a/fescuegw/entry/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -1,8 +1,8 @@
-#include "fescuegw/entry/StateClient.h"
+#include "fescuegw/group/StateClient.h"
 
 #include <algorithm>
 
-namespace fescuegw::entry {
+namespace fescuegw::group {
 
 StateClient::StateClient(StateClientOptions options, std::vector<std::string> replicas, StateClientHooks hooks)
     : m_options(options)
@@ -11,12 +11,12 @@
 {
 }
 
-void StateClient::propose(const wire::Command& command, dispatch::ResultHook hook)
+void StateClient::propose(const wire::Command& command, ResultHook hook)
 {
     m_batch.emplace_back(command, std::move(hook));
 }
 
-void StateClient::fetchOpenClaims(TimePoint now, const std::string& service, uint64_t epoch, dispatch::ClaimsHook hook)
+void StateClient::fetchOpenClaims(TimePoint now, const std::string& service, uint64_t epoch, ClaimsHook hook)
 {
     wire::StateRequest open;
     open.mutable_open_claims()->set_service(service);
@@ -25,7 +25,7 @@
         now, open, [hook = std::move(hook)](TimePoint then, const wire::StateReply& reply) { hook(then, reply.open_claims()); });
 }
 
-void StateClient::lookup(TimePoint now, const SubmissionKey& key, dispatch::LookupHook hook)
+void StateClient::lookup(TimePoint now, const SubmissionKey& key, LookupHook hook)
 {
     wire::StateRequest read;
     read.mutable_lookup()->set_team(key.team);
@@ -51,13 +51,41 @@
 
 void StateClient::rotate() { m_target = (m_target + 1) % m_replicas.size(); }
 
+void StateClient::addReplicas(const std::vector<std::string>& replicas)
+{
+    for (const auto& it : replicas) {
+        if (it.empty() || std::find(m_replicas.begin(), m_replicas.end(), it) != m_replicas.end())
+            continue;
+        m_replicas.push_back(it);
+        if (m_hooks.onReplica)
+            m_hooks.onReplica(it);
+    }
+}
+
+// Replicas that were removed stay in the list: they cost a turn of the search, and may be the only ones that settings name.
+void StateClient::learn(const wire::StateReply& reply)
+{
+    std::vector<std::string> found(reply.member_addresses().begin(), reply.member_addresses().end());
+    found.push_back(reply.leader_address());
+    addReplicas(found);
+}
+
+void StateClient::noteReachable(TimePoint now, bool reachable)
+{
+    if (m_reachable == reachable)
+        return;
+    m_reachable = reachable;
+    if (m_hooks.onReachable)
+        m_hooks.onReachable(now, reachable);
+}
+
 void StateClient::onReply(TimePoint now, const std::string& replica, const wire::StateReply& reply)
 {
     m_lastReply = now;
+    learn(reply);
     if (reply.not_leader()) {
-        const std::string leader = "replica-" + std::to_string(reply.leader());
-        const auto known = std::find(m_replicas.begin(), m_replicas.end(), leader);
-        if (known != m_replicas.end() && leader != replica)
+        const auto known = std::find(m_replicas.begin(), m_replicas.end(), reply.leader_address());
+        if (known != m_replicas.end() && *known != replica)
             m_target = static_cast<size_t>(known - m_replicas.begin());
         else if (m_replicas[m_target] == replica)
             rotate();
@@ -70,14 +98,9 @@
     }
     m_lastContact = now;
     m_contacted = true;
+    noteReachable(now, true);
     if (reply.has_heartbeat()) {
-        if (!reply.heartbeat().has_view() || reply.heartbeat().view().revision() < m_revision)
-            return;
-        const wire::View& view = reply.heartbeat().view();
-        m_revision = view.revision();
-        m_entriesRevision = view.entries_revision();
-        m_configurationVersion = view.configuration_version();
-        m_hooks.onView(now, view);
+        onHeartbeat(now, reply.heartbeat());
         return;
     }
     const auto it = m_requests.find(reply.request_id());
@@ -88,12 +111,27 @@
     hook(now, reply);
 }
 
+void StateClient::onHeartbeat(TimePoint now, const wire::HeartbeatReply& reply)
+{
+    if (reply.has_routing() && reply.routing().version() > m_routingVersion) {
+        m_routingVersion = reply.routing().version();
+        m_hooks.onRouting(now, reply.routing());
+    }
+    if (!reply.has_view() || reply.view().revision() < m_revision)
+        return;
+    const wire::View& view = reply.view();
+    m_revision = view.revision();
+    m_entriesRevision = view.entries_revision();
+    m_configurationVersion = view.configuration_version();
+    m_hooks.onView(now, view);
+}
+
 void StateClient::sendBatch(TimePoint now)
 {
     while (!m_batch.empty()) {
         const auto n = std::min(m_batch.size(), static_cast<size_t>(m_options.commandsPerRequest));
         wire::StateRequest proposal;
-        std::vector<dispatch::ResultHook> hooks;
+        std::vector<ResultHook> hooks;
         for (size_t i = 0; i < n; ++i) {
             proposal.mutable_propose()->add_commands()->Swap(&m_batch[i].first);
             hooks.push_back(std::move(m_batch[i].second));
@@ -106,30 +144,38 @@
     }
 }
 
+void StateClient::sendHeartbeat(TimePoint now, const wire::EntryInfo& self)
+{
+    // An unanswered heartbeat means that the replica is gone or frozen: try another.
+    const bool unanswered = m_heartbeatSent > m_lastReply && now - m_lastReply > m_options.requestTimeout;
+    if (unanswered) {
+        rotate();
+        m_lastReply = now;
+    }
+    m_heartbeatDue = now + m_options.heartbeatInterval;
+    m_heartbeatId = ++m_nextId;
+    m_heartbeatSent = now;
+    wire::StateRequest request;
+    request.set_request_id(m_heartbeatId);
+    wire::EntryHeartbeat& heartbeat = *request.mutable_heartbeat();
+    *heartbeat.mutable_entry() = self;
+    heartbeat.set_known_revision(m_revision);
+    heartbeat.set_known_entries_revision(m_entriesRevision);
+    heartbeat.set_configuration_version(m_configurationVersion);
+    heartbeat.set_known_routing_version(m_routingVersion);
+    m_hooks.send(m_replicas[m_target], request);
+}
+
 void StateClient::flush(TimePoint now, const wire::EntryInfo& self)
 {
     sendBatch(now);
-    if (now >= m_heartbeatDue) {
-        // An unanswered heartbeat means that the replica is gone or frozen: try another.
-        const bool unanswered = m_heartbeatSent > m_lastReply && now - m_lastReply > m_options.requestTimeout;
-        if (unanswered) {
-            rotate();
-            m_lastReply = now;
-        }
-        m_heartbeatDue = now + m_options.heartbeatInterval;
-        m_heartbeatId = ++m_nextId;
-        m_heartbeatSent = now;
-        wire::StateRequest heartbeat;
-        heartbeat.set_request_id(m_heartbeatId);
-        *heartbeat.mutable_heartbeat()->mutable_entry() = self;
-        heartbeat.mutable_heartbeat()->set_known_revision(m_revision);
-        heartbeat.mutable_heartbeat()->set_known_entries_revision(m_entriesRevision);
-        heartbeat.mutable_heartbeat()->set_configuration_version(m_configurationVersion);
-        m_hooks.send(m_replicas[m_target], heartbeat);
-    }
+    if (m_reachable && now - m_lastContact > m_options.unreachableAfter)
+        noteReachable(now, false);
+    if (now >= m_heartbeatDue)
+        sendHeartbeat(now, self);
     for (auto& it : m_requests)
         if (now >= it.second.due)
             transmit(now, it.second);
 }
 
-} // namespace fescuegw::entry
+} // namespace fescuegw::group
--- a/fescuegw/entry/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -1,4 +1,4 @@
-// An entry's side of the durable state: batched commands, reads and the view in force.
+// A process's side of the durable state: batched commands, reads, the view and the routing in force.
 #pragma once
 
 #include <cstdint>
@@ -9,13 +9,23 @@
 
 #include <control.pb.h>
 
-#include "fescuegw/dispatch/ServiceDispatcher.h"
+#include "fescuegw/base/Types.h"
 
-namespace fescuegw::entry {
+namespace fescuegw::group {
+
+using ResultHook = std::function<void(TimePoint, const wire::CommandResult&)>;
+using ClaimsHook = std::function<void(TimePoint, const wire::OpenClaimsReply&)>;
+using LookupHook = std::function<void(TimePoint, const wire::LookupReply&)>;
 
 struct StateClientHooks {
     std::function<void(const std::string& replica, const wire::StateRequest&)> send;
     std::function<void(TimePoint, const wire::View&)> onView;
+    // A routing newer than the one known.
+    std::function<void(TimePoint, const wire::Routing&)> onRouting;
+    // A replica that wasn't known before; `send` may name it from now on.
+    std::function<void(const std::string& replica)> onReplica;
+    // The leader answers again, or no longer.
+    std::function<void(TimePoint, bool reachable)> onReachable;
 };
 
 struct StateClientOptions {
@@ -23,32 +33,38 @@
     // After this a request is sent again, to another replica.
     Duration requestTimeout { std::chrono::milliseconds(700) };
     Duration retryPause { std::chrono::milliseconds(50) };
+    // Without an answer of a leader for this long, the group counts as unreachable.
+    Duration unreachableAfter { std::chrono::milliseconds(2000) };
     int commandsPerRequest = 512;
 };
 
-// Finds the leader and repeats what it did not answer; commands are idempotent, so that repeating them is safe. Not
-// thread-safe: the entry's link thread owns it.
+// Finds the leader, starting from a few replicas and learning the others from their answers, and repeats what was not
+// answered; commands are idempotent, so that repeating them is safe. Not thread-safe: the link thread owns it.
 class StateClient {
 public:
     using ReplyHook = std::function<void(TimePoint, const wire::StateReply&)>;
 
-    // `replicas` are the names under which the hub knows the replicas.
+    // `replicas` are the addresses of replicas, which are also the names under which the hub knows them.
     StateClient(StateClientOptions, std::vector<std::string> replicas, StateClientHooks);
 
     // Commits a command; commands of one batch of events travel in one request.
-    void propose(const wire::Command&, dispatch::ResultHook);
-    void fetchOpenClaims(TimePoint now, const std::string& service, uint64_t epoch, dispatch::ClaimsHook);
-    void lookup(TimePoint now, const SubmissionKey&, dispatch::LookupHook);
+    void propose(const wire::Command&, ResultHook);
+    void fetchOpenClaims(TimePoint now, const std::string& service, uint64_t epoch, ClaimsHook);
+    void lookup(TimePoint now, const SubmissionKey&, LookupHook);
     // Sends any other request until it is answered.
     void request(TimePoint now, wire::StateRequest, ReplyHook);
 
+    // Adds replicas found elsewhere, such as changed settings.
+    void addReplicas(const std::vector<std::string>& replicas);
+
     void onReply(TimePoint now, const std::string& replica, const wire::StateReply&);
 
-    // Sends what has gathered and what is due again, and the heartbeat.
+    // Sends what has gathered and what is due again, and the heartbeat. An unnamed `EntryInfo` only follows the view.
     void flush(TimePoint now, const wire::EntryInfo&);
 
     // Returns when a leader last answered, or nothing.
     const TimePoint* lastContact() const { return m_contacted ? &m_lastContact : nullptr; }
+    uint64_t routingVersion() const { return m_routingVersion; }
     size_t outstanding() const { return m_requests.size(); }
 
 private:
@@ -58,6 +74,10 @@
         TimePoint due;
     };
 
+    void onHeartbeat(TimePoint now, const wire::HeartbeatReply&);
+    void learn(const wire::StateReply&);
+    void noteReachable(TimePoint now, bool reachable);
+    void sendHeartbeat(TimePoint now, const wire::EntryInfo&);
     void sendBatch(TimePoint now);
     void transmit(TimePoint now, Outstanding&);
     void rotate();
@@ -68,7 +88,7 @@
     size_t m_target = 0;
     uint64_t m_nextId = 0;
     std::map<uint64_t, Outstanding> m_requests;
-    std::vector<std::pair<wire::Command, dispatch::ResultHook>> m_batch;
+    std::vector<std::pair<wire::Command, ResultHook>> m_batch;
     TimePoint m_heartbeatDue;
     uint64_t m_heartbeatId = 0;
     TimePoint m_heartbeatSent;
@@ -79,6 +99,8 @@
     uint64_t m_revision = 0;
     uint64_t m_entriesRevision = 0;
     uint64_t m_configurationVersion = 0;
+    uint64_t m_routingVersion = 0;
+    bool m_reachable = false;
 };
 
-} // namespace fescuegw::entry
+} // namespace fescuegw::group
--- a/fescuegw/http/Client.cpp
+++ b/fescuegw/http/Client.cpp
@@ -44,11 +44,17 @@
 } // namespace
 
 struct Client::Impl {
+    explicit Impl(Connections connections)
+        : kept(connections == Connections::Kept)
+    {
+    }
+
     CURL* handle = curl_easy_init();
+    bool kept;
 };
 
-Client::Client()
-    : m_impl(std::make_unique<Impl>())
+Client::Client(Connections connections)
+    : m_impl(std::make_unique<Impl>(connections))
 {
 }
 
@@ -67,8 +73,9 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    const long fresh = m_impl->kept ? 0L : 1L;
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, fresh);
     const auto timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout).count();
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeoutMs));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
--- a/fescuegw/http/Client.h
+++ b/fescuegw/http/Client.h
@@ -1,6 +1,7 @@
 // HTTP client over libcurl, with a verdict for every failure.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,11 +28,17 @@
     friend bool operator==(const ClientResponse&, const ClientResponse&) = default;
 };
 
-// Sends one request at a time, each on a connection of its own: libcurl silently repeats a request that finds a kept-alive
-// connection dead, which would start work twice. Not thread-safe.
+// libcurl silently repeats a request that finds a kept-alive connection dead, which would start work twice: connections are
+// kept only for requests that are idempotent.
+enum class Connections : uint8_t {
+    Fresh,
+    Kept,
+};
+
+// Sends one request at a time. Not thread-safe.
 class Client {
 public:
-    Client();
+    explicit Client(Connections = Connections::Fresh);
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -4,10 +4,12 @@
 #include <atomic>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 namespace fescuegw::http {
@@ -17,6 +19,8 @@
     constexpr int statusTooLarge = 413;
     constexpr std::chrono::milliseconds stopPoll { 5 };
     constexpr int stopPolls = 400;
+    // Between two looks at the connections whose callers wait. A caller may resend after a second or more; well below that.
+    constexpr std::chrono::milliseconds watchInterval { 100 };
 
     struct Listening {
         sockaddr_storage storage {};
@@ -51,7 +55,16 @@
         return MHD_YES;
     }
 
-    MHD_Result queueResponse(MHD_Connection* connection, const Response& response)
+    MHD_Result collectHeader(void* user, MHD_ValueKind /*kind*/, const char* key, const char* value)
+    {
+        std::string name = key;
+        for (char& c : name)
+            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+        (*static_cast<std::map<std::string, std::string>*>(user))[name] = value == nullptr ? "" : value;
+        return MHD_YES;
+    }
+
+    MHD_Result queueResponse(MHD_Connection* connection, const Response& response, bool closes)
     {
         if (response.status == 0)
             return MHD_NO;
@@ -62,6 +75,10 @@
             MHD_add_response_header(reply, "X-Content-Digest", contentDigest(response.body).c_str());
         if (response.retryAfter > 0)
             MHD_add_response_header(reply, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(response.retryAfter).c_str());
+        if (!response.location.empty())
+            MHD_add_response_header(reply, MHD_HTTP_HEADER_LOCATION, response.location.c_str());
+        if (closes)
+            MHD_add_response_header(reply, MHD_HTTP_HEADER_CONNECTION, "close");
         const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(response.status), reply);
         MHD_destroy_response(reply);
         return result;
@@ -76,10 +93,17 @@
         bool started = false;
         bool answered = false;
         bool oversized = false;
+        int descriptor = -1;
     };
 
 } // namespace
 
+std::string Request::header(const std::string& name) const
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? "" : it->second;
+}
+
 Response problem(const Error& error)
 {
     const nlohmann::json body = {
@@ -102,6 +126,13 @@
     MHD_Daemon* daemon = nullptr;
     int quiesced = -1;
     std::atomic<uint64_t> pending { 0 };
+    std::atomic<uint64_t> lastExchange { 0 };
+    std::atomic<bool> closing { false };
+    std::atomic<bool> finished { false };
+    std::thread watcher;
+    std::mutex waitingMutex;
+    // Exchanges whose callers wait for an answer, by number.
+    std::map<uint64_t, std::shared_ptr<Exchange>> waiting;
 
     static MHD_Result onAccess(void* user, MHD_Connection* connection, const char* url, const char* method,
         const char* /*version*/, const char* uploadData, size_t* uploadSize, void** slot)
@@ -119,7 +150,7 @@
         }
         if (!exchange->started)
             return self->dispatch(exchange);
-        return queueResponse(connection, exchange->response);
+        return queueResponse(connection, exchange->response, self->closing);
     }
 
     static void onCompleted(void* user, MHD_Connection* /*connection*/, void** slot, MHD_RequestTerminationCode /*code*/)
@@ -144,6 +175,7 @@
         exchange->request.traceparent = header(connection, "traceparent");
         exchange->request.incarnation = header(connection, "X-Agent-Incarnation");
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery, &exchange->request.query);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange->request.headers);
         return exchange;
     }
 
@@ -164,10 +196,16 @@
         if (exchange->oversized) {
             const std::string limit = std::to_string(options.bodyLimit);
             return queueResponse(
-                exchange->connection, problem({ Verdict::NotRun, statusTooLarge, "allowed: " + limit + " bytes" }));
+                exchange->connection, problem({ Verdict::NotRun, statusTooLarge, "allowed: " + limit + " bytes" }), closing);
         }
         MHD_suspend_connection(exchange->connection);
-        handler(std::move(exchange->request), [exchange](Response response) {
+        const uint64_t number = ++lastExchange;
+        exchange->request.exchange = number;
+        if (options.onAbandoned)
+            watch(number, exchange);
+        handler(std::move(exchange->request), [this, exchange, number](Response response) {
+            if (options.onAbandoned)
+                unwatch(number);
             const std::lock_guard<std::mutex> lock(exchange->mutex);
             if (exchange->answered)
                 return;
@@ -177,6 +215,52 @@
         });
         return MHD_YES;
     }
+
+    void watch(uint64_t number, const std::shared_ptr<Exchange>& exchange)
+    {
+        const auto* info = MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        exchange->descriptor = info == nullptr ? -1 : info->connect_fd;
+        const std::lock_guard<std::mutex> lock(waitingMutex);
+        waiting[number] = exchange;
+    }
+
+    void unwatch(uint64_t number)
+    {
+        const std::lock_guard<std::mutex> lock(waitingMutex);
+        waiting.erase(number);
+    }
+
+    // Suspended connections are not read by libmicrohttpd, so a caller that has gone away shows only here. A descriptor can't
+    // be closed and used again meanwhile: its exchange leaves `waiting` before it is answered.
+    std::vector<uint64_t> abandoned()
+    {
+        const std::lock_guard<std::mutex> lock(waitingMutex);
+        std::vector<pollfd> descriptors;
+        std::vector<uint64_t> numbers;
+        for (const auto& it : waiting) {
+            descriptors.push_back({ it.second->descriptor, POLLRDHUP, 0 });
+            numbers.push_back(it.first);
+        }
+        if (descriptors.empty() || poll(descriptors.data(), descriptors.size(), 0) <= 0)
+            return {};
+        std::vector<uint64_t> gone;
+        for (size_t i = 0; i < descriptors.size(); ++i) {
+            if ((descriptors[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0)
+                continue;
+            gone.push_back(numbers[i]);
+            waiting.erase(numbers[i]);
+        }
+        return gone;
+    }
+
+    void watchCallers()
+    {
+        while (!finished) {
+            std::this_thread::sleep_for(watchInterval);
+            for (const uint64_t it : abandoned())
+                options.onAbandoned(it);
+        }
+    }
 };
 
 Server::Server(ServerOptions options, Handler handler)
@@ -192,6 +276,9 @@
     // Suspended connections must be resumed before the daemon may stop; their responders belong to the handler's owner.
     for (int n = 0; n < stopPolls && m_impl->pending > 0; ++n)
         std::this_thread::sleep_for(stopPoll);
+    m_impl->finished = true;
+    if (m_impl->watcher.joinable())
+        m_impl->watcher.join();
     if (m_impl->daemon != nullptr)
         MHD_stop_daemon(m_impl->daemon);
     if (m_impl->quiesced >= 0)
@@ -212,6 +299,8 @@
         poolOption, threads, MHD_OPTION_END);
     if (m_impl->daemon == nullptr)
         return tl::unexpected(Error { Verdict::NotRun, 500, m_impl->options.listen.text() + ": can't listen" });
+    if (m_impl->options.onAbandoned)
+        m_impl->watcher = std::thread([this] { m_impl->watchCallers(); });
     return {};
 }
 
@@ -221,6 +310,8 @@
         m_impl->quiesced = MHD_quiesce_daemon(m_impl->daemon);
 }
 
+void Server::closeAfterAnswers() { m_impl->closing = true; }
+
 uint64_t Server::pending() const { return m_impl->pending; }
 
 } // namespace fescuegw::http
--- a/fescuegw/http/Server.h
+++ b/fescuegw/http/Server.h
@@ -21,6 +21,13 @@
     std::string traceparent;
     // The X-Agent-Incarnation header, which agents send to upstreams.
     std::string incarnation;
+    // All headers, with names in lower case.
+    std::map<std::string, std::string> headers;
+    // Names the exchange within its server, for `ServerOptions::onAbandoned`.
+    uint64_t exchange = 0;
+
+    // Returns the value of the header `name` (in lower case), or "".
+    std::string header(const std::string& name) const;
 };
 
 // Status 0 closes the connection without an answer.
@@ -30,6 +37,8 @@
     std::string contentType = "application/json";
     // Seconds; 0 leaves the header out.
     uint32_t retryAfter = 0;
+    // Where a redirected caller is to go; empty leaves the header out.
+    std::string location {};
 
     friend bool operator==(const Response&, const Response&) = default;
 };
@@ -48,6 +57,8 @@
     uint32_t connectionLimit = 4096;
     uint32_t idleSeconds = 30;
     size_t bodyLimit = 4U << 20U;
+    // Called on a thread of the server when a caller has closed its connection before it was answered. Empty: not watched.
+    std::function<void(uint64_t exchange)> onAbandoned;
 };
 
 // Serves HTTP/1.1 on a fixed number of threads. The handler runs on one of them and must not block; the answer may come
@@ -66,6 +77,9 @@
     // Accepts no further connection; open ones are served on.
     void quiesce();
 
+    // From now on every answer closes its connection, so that callers move to another server.
+    void closeAfterAnswers();
+
     // Returns the number of requests read and not yet answered.
     uint64_t pending() const;
 
--- a/fescuegw/logging/Log.cpp
+++ b/fescuegw/logging/Log.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
+
+#include "fescuegw/logging/internal/BoundedAppender.h"
 
 namespace fescuegw::logging {
 
@@ -73,7 +75,7 @@
     processName = process;
     log4cplus::SharedAppenderPtr appender;
     if (file.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
+        appender = new internal::BoundedAppender(STDOUT_FILENO);
     else
         appender = new log4cplus::FileAppender(file, std::ios::app);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
@@ -109,6 +111,4 @@
     return *this;
 }
 
-Event& Event::with(std::string_view key, uint64_t value) { return with(key, std::string_view(std::to_string(value))); }
-
 } // namespace fescuegw::logging
--- a/fescuegw/logging/Log.h
+++ b/fescuegw/logging/Log.h
@@ -1,6 +1,7 @@
 // Structured logs: one line of key=value pairs for each event.
 #pragma once
 
+#include <concepts>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -14,8 +15,9 @@
     Error,
 };
 
-// Starts logging for this process. `level` is debug, info, warn or error; lines go to standard error, or are appended to
-// `file` unless it is empty. Called once, before any thread starts.
+// Starts logging for this process. `level` is debug, info, warn or error; lines go to standard output, or are appended to
+// `file` unless it is empty. Standard output never blocks: lines beyond a limit a second, and lines that a slow reader leaves
+// no room for, are dropped and counted in an event `log_dropped`. Called once, before any thread starts.
 void initialise(const std::string& process, const std::string& level, const std::string& file);
 
 // One log line, written when it goes out of scope. Thread-safe across instances.
@@ -29,7 +31,10 @@
     Event& operator=(Event&&) = delete;
 
     Event& with(std::string_view key, std::string_view value);
-    Event& with(std::string_view key, uint64_t value);
+    template <std::integral T> Event& with(std::string_view key, T value)
+    {
+        return with(key, std::string_view(std::to_string(value)));
+    }
 
 private:
     Level m_level;
--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -79,6 +79,18 @@
         std::thread m_thread;
     };
 
+    // Hosts that lose power and paths that go silent answer nothing, so that only a limit of our own shows them.
+    void setSilenceLimit(zmq::socket_t& socket, Duration limit)
+    {
+        const auto ms = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+        if (ms == 0)
+            return;
+        socket.set(zmq::sockopt::heartbeat_ivl, ms / 2);
+        socket.set(zmq::sockopt::heartbeat_timeout, ms);
+        socket.set(zmq::sockopt::tcp_maxrt, ms);
+        socket.set(zmq::sockopt::connect_timeout, ms);
+    }
+
     void setCommonOptions(zmq::socket_t& socket)
     {
         socket.set(zmq::sockopt::linger, lingerMs);
@@ -143,6 +155,7 @@
     try {
         auto router = std::make_unique<zmq::socket_t>(m_sockets->context, zmq::socket_type::router);
         setCommonOptions(*router);
+        setSilenceLimit(*router, m_options.silenceLimit);
         router->set(zmq::sockopt::router_mandatory, true);
         router->set(zmq::sockopt::router_handover, true);
         if (!m_options.keys.secretKey.empty()) {
@@ -162,6 +175,7 @@
 {
     auto dealer = std::make_unique<zmq::socket_t>(m_sockets->context, zmq::socket_type::dealer);
     setCommonOptions(*dealer);
+    setSilenceLimit(*dealer, m_options.silenceLimit);
     // Nothing is kept for a peer that is not there: what can't be handed over now is reported as undeliverable.
     dealer->set(zmq::sockopt::immediate, true);
     dealer->set(zmq::sockopt::routing_id, m_options.identity);
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -48,6 +48,8 @@
     std::string listen;
     KeyPair keys;
     Duration tickInterval { std::chrono::milliseconds(20) };
+    // A link on which nothing comes for this long, not even an answer to a ping, is opened anew. Zero: only when it breaks.
+    Duration silenceLimit {};
 };
 
 struct HubHooks {
--- a/fescuegw/raft/Membership.cpp
+++ b/fescuegw/raft/Membership.cpp
@@ -112,7 +112,7 @@
             : "replica " + std::to_string(added.id()) + " is a member already; ids are never used again";
     if (replaces != 0 && member(replaces) == nullptr)
         return "replica " + std::to_string(replaces) + " is not a member";
-    if (m_commitIndex < m_membershipIndex)
+    if (isMembershipChanging())
         return "another change of membership is under way";
     wire::Membership next = m_membership;
     wire::Member* joining = next.add_members();
@@ -124,10 +124,37 @@
     return "";
 }
 
+std::string Replica::removeMember(TimePoint now, uint64_t id)
+{
+    if (!hasLease(now))
+        return "this replica does not lead";
+    if (member(id) == nullptr)
+        return "replica " + std::to_string(id) + " is not a member";
+    if (isMembershipChanging())
+        return "another change of membership is under way";
+    wire::Membership next;
+    for (const auto& it : m_membership.members()) {
+        if (it.id() == id)
+            continue;
+        wire::Member* kept = next.add_members();
+        *kept = it;
+        if (kept->replaces() == id)
+            kept->set_replaces(0);
+    }
+    appendMembership(next);
+    return "";
+}
+
+std::optional<TimePoint> Replica::answeredAt(uint64_t id) const
+{
+    const auto it = m_progress.find(id);
+    return it == m_progress.end() ? std::nullopt : it->second.answeredRound;
+}
+
 // The rest of a change follows from the membership itself, so that a new leader carries it on.
 void Replica::advanceMembership(TimePoint /*now*/)
 {
-    if (m_role != Role::Leader || m_commitIndex < m_membershipIndex || m_commitIndex < m_firstIndexOfTerm)
+    if (m_role != Role::Leader || isMembershipChanging() || m_commitIndex < m_firstIndexOfTerm)
         return;
     wire::Membership next = m_membership;
     for (auto& it : *next.mutable_members()) {
--- a/fescuegw/raft/Replica.h
+++ b/fescuegw/raft/Replica.h
@@ -25,7 +25,9 @@
     // The leader's lease lasts this much less than the election timeout; covers the drift between two hosts' clocks.
     Duration clockMargin { std::chrono::milliseconds(200) };
     size_t appendBytesLimit = 1U << 20U;
+    // A snapshot is taken after this many entries, or this many bytes of commands.
     uint64_t snapshotInterval = 10000;
+    uint64_t snapshotBytes = 8U << 20U;
 };
 
 // What survived on the replica's disk.
@@ -89,6 +91,9 @@
     // place of `replaces` (0 for none). Returns why it is refused, or "".
     std::string changeMembership(TimePoint now, const wire::Member& member, uint64_t replaces);
 
+    // Starts a change of membership that removes `id`. Returns why it is refused, or "".
+    std::string removeMember(TimePoint now, uint64_t id);
+
     // Returns whether this replica leads and a quorum has confirmed it within the lease: its applied state is current.
     bool hasLease(TimePoint now) const;
 
@@ -101,6 +106,12 @@
     uint64_t termAt(uint64_t index) const;
     const wire::Membership& membership() const { return m_membership; }
     uint64_t matchIndex(uint64_t id) const;
+    // Returns when the newest round that member `id` answered was sent, or nothing. Known to the leader only.
+    std::optional<TimePoint> answeredAt(uint64_t id) const;
+    // Returns whether a change of membership has yet to commit.
+    bool isMembershipChanging() const { return m_commitIndex < m_membershipIndex; }
+    // Returns whether this replica votes under the membership it knows, with the disk it has.
+    bool votes() const { return isVoter(m_options.id); }
 
 private:
     // Elections.
@@ -157,6 +168,8 @@
     uint64_t m_commitIndex = 0;
     uint64_t m_appliedIndex = 0;
     uint64_t m_syncedIndex = 0;
+    // Bytes of commands applied since the last snapshot.
+    uint64_t m_appliedBytes = 0;
     TimePoint m_electionDue;
     TimePoint m_leaderContact;
     TimePoint m_heartbeatDue;
--- a/fescuegw/raft/Replication.cpp
+++ b/fescuegw/raft/Replication.cpp
@@ -171,15 +171,18 @@
     m_commitIndex = std::max(m_commitIndex, index);
     while (m_appliedIndex < m_commitIndex) {
         ++m_appliedIndex;
+        m_appliedBytes += entry(m_appliedIndex).command().size();
         m_hooks.apply(entry(m_appliedIndex));
     }
-    if (m_appliedIndex - m_snapshot.index() >= m_options.snapshotInterval)
+    const bool large = m_appliedBytes >= m_options.snapshotBytes;
+    if (large || m_appliedIndex - m_snapshot.index() >= m_options.snapshotInterval)
         takeSnapshot();
 }
 
 void Replica::takeSnapshot()
 {
     wire::Snapshot snapshot;
+    m_appliedBytes = 0;
     snapshot.set_index(m_appliedIndex);
     snapshot.set_term(termAt(m_appliedIndex));
     // The membership as of the snapshot, which may be older than the newest one.
@@ -220,6 +223,7 @@
         m_hooks.restore(m_snapshot.state());
         m_commitIndex = snapshot.index();
         m_appliedIndex = snapshot.index();
+        m_appliedBytes = 0;
         m_syncedIndex = lastIndex();
         adoptMembership();
     }
--- a/fescuegw/registry/Registry.cpp
+++ b/fescuegw/registry/Registry.cpp
@@ -53,6 +53,8 @@
         return retire(command.retire());
     case wire::Command::kAssign:
         return assign(command.assign());
+    case wire::Command::kReplaceRouting:
+        return replaceRouting(command.replace_routing());
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -95,6 +97,17 @@
     return record.result();
 }
 
+// Operators repeat a change whose answer was lost, to any replica: what is not newer is accepted and changes nothing.
+wire::CommandResult Registry::replaceRouting(const wire::Routing& next)
+{
+    const bool newer = next.version() > m_routing.version();
+    if (newer)
+        m_routing = next;
+    wire::CommandResult accepted = result(newer ? wire::ACCEPTED : wire::REPEATED);
+    accepted.set_version(m_routing.version());
+    return accepted;
+}
+
 void Registry::remember(const wire::ChangeRecord& record)
 {
     m_changes[record.change_id()] = record;
@@ -229,6 +242,7 @@
     state.set_configuration_version(m_configurationVersion);
     state.set_revision(m_revision);
     state.set_time_ms(m_timeMs);
+    *state.mutable_routing() = m_routing;
     for (const auto& it : m_teams)
         *state.add_teams() = it.second;
     for (const auto& it : m_ownerships)
@@ -254,6 +268,7 @@
     m_configurationVersion = state.configuration_version();
     m_revision = state.revision();
     m_timeMs = state.time_ms();
+    m_routing = state.routing();
     for (const auto& it : state.teams())
         m_teams[it.team()] = it;
     for (const auto& it : state.ownerships())
--- a/fescuegw/registry/Registry.h
+++ b/fescuegw/registry/Registry.h
@@ -40,6 +40,9 @@
     // Returns what entries follow, without the list of entries.
     wire::View view() const;
 
+    // Returns the routing in force; version 0 when there was none yet.
+    const wire::Routing& routing() const { return m_routing; }
+
     uint64_t revision() const { return m_revision; }
     uint64_t configurationVersion() const { return m_configurationVersion; }
     const std::map<std::string, wire::TeamConfiguration>& teams() const { return m_teams; }
@@ -61,6 +64,7 @@
     wire::CommandResult enrol(const wire::Enrolment&);
     wire::CommandResult retire(const wire::Enrolment&);
     wire::CommandResult assign(const wire::Ownership&);
+    wire::CommandResult replaceRouting(const wire::Routing&);
     bool ownsCurrently(const std::string& service, const std::string& owner, uint64_t epoch) const;
     bool isCurrentEpoch(const wire::Enrolment&) const;
     void remember(const wire::ChangeRecord&);
@@ -70,6 +74,7 @@
     uint64_t m_timeMs = 0;
     uint64_t m_configurationVersion = 0;
     uint64_t m_revision = 0;
+    wire::Routing m_routing;
     std::map<std::string, wire::TeamConfiguration> m_teams;
     std::map<std::string, wire::Ownership> m_ownerships;
     std::map<std::string, std::map<AgentId, wire::Enrolment>> m_enrolments;
--- a/fescuegw/settings/Settings.cpp
+++ b/fescuegw/settings/Settings.cpp
@@ -184,6 +184,26 @@
     return parsed.value_or(Address());
 }
 
+std::vector<Address> Document::addresses(const std::string& section, const std::string& key)
+{
+    const Value* value = require(section, key);
+    if (value == nullptr)
+        return {};
+    std::vector<Address> list;
+    std::istringstream stream(value->text);
+    for (std::string it; std::getline(stream, it, ',');) {
+        it.erase(0, it.find_first_not_of(' '));
+        it.erase(it.find_last_not_of(' ') + 1);
+        auto parsed = parseAddress(it);
+        if (!parsed) {
+            reject(section, key, "addresses separated by commas: " + parsed.error());
+            return {};
+        }
+        list.push_back(*parsed);
+    }
+    return list;
+}
+
 std::string Document::textOr(const std::string& section, const std::string& key, const std::string& absent)
 {
     const Value* value = find(section, key);
--- a/fescuegw/settings/Settings.h
+++ b/fescuegw/settings/Settings.h
@@ -42,6 +42,8 @@
     std::string name(const std::string& section, const std::string& key);
     std::string text(const std::string& section, const std::string& key);
     Address address(const std::string& section, const std::string& key);
+    // One or more addresses, separated by commas.
+    std::vector<Address> addresses(const std::string& section, const std::string& key);
 
     // Optional keys, with the value that stands when they are absent.
     std::string textOr(const std::string& section, const std::string& key, const std::string& absent);
--- a/fescuegw/state/OwnershipPolicy.cpp
+++ b/fescuegw/state/OwnershipPolicy.cpp
@@ -26,6 +26,9 @@
 void OwnershipPolicy::onHeartbeat(TimePoint now, const wire::EntryHeartbeat& heartbeat)
 {
     const std::string& entry = heartbeat.entry().entry();
+    // Agents follow the view without being entries.
+    if (entry.empty())
+        return;
     const std::string name = entry.substr(0, entry.find('/') + 1);
     // A restarted entry supersedes its earlier incarnation without waiting for the lease.
     std::erase_if(m_entries, [&](const auto& it) { return it.first != entry && it.first.starts_with(name) && it.first < entry; });
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -1,7 +1,11 @@
 #include "fescuegw/state/StateServer.h"
 
+#include <algorithm>
 #include <charconv>
 
+#include <arpa/inet.h>
+
+#include "fescuegw/group/Seeds.h"
 #include "fescuegw/logging/Log.h"
 
 namespace fescuegw::state {
@@ -14,25 +18,64 @@
     constexpr Duration policyInterval = std::chrono::milliseconds(50);
     constexpr uint64_t mostReplicas = 7;
 
+    // Between two requests to belong to the group; half of MembershipOptions::candidateSpacing's order, so that two come soon.
+    constexpr Duration joinInterval = std::chrono::milliseconds(300);
+    // Without a leader for this many election timeouts, a voter asks whether it still belongs.
+    constexpr int leaderlessTimeouts = 3;
+    // A silent link between replicas is opened anew after this part of an election timeout.
+    constexpr int silenceParts = 1;
+
     std::string replicaName(uint64_t id) { return "replica-" + std::to_string(id); }
 
+    std::string contactName(const std::string& address) { return "contact-" + address; }
+
+    // The id of a member that the group starts with: every replica works it out alike from the seeds alone.
+    uint64_t idOfSeed(const settings::Address& address)
+    {
+        in_addr ip {};
+        inet_pton(AF_INET, address.ip.c_str(), &ip);
+        return ntohl(ip.s_addr);
+    }
+
+    // Ids of later members are beyond those of seeds, and drawn anew for each empty disk.
+    uint64_t idOfJoiner() { return randomIdentity() | (1ULL << 32U); }
+
     Duration milliseconds(uint64_t n) { return std::chrono::milliseconds(n); }
 
 } // namespace
 
+namespace {
+
+    std::optional<Formation> readFormation(settings::Document& document)
+    {
+        static const std::string section = "formation";
+        if (!document.has(section, "seeds"))
+            return std::nullopt;
+        Formation formation;
+        formation.seeds = group::readSeeds(document);
+        formation.firstStart = document.flagOr(section, "first-start", false);
+        formation.toleratedLosses = document.numberOr(section, "tolerated-losses", 1, 0, mostReplicas);
+        return formation;
+    }
+
+} // namespace
+
 StateSettings readStateSettings(settings::Document& document)
 {
     StateSettings settings;
     settings.process = daemon::readProcessSettings(document);
-    if (!document.has("replica", "id"))
+    settings.formation = readFormation(document);
+    if (!settings.formation && !document.has("replica", "id"))
         document.reject("replica", "id", "a whole number from 1; the key is missing");
-    settings.id = document.numberOr("replica", "id", 1, 1);
+    settings.id = settings.formation ? 0 : document.numberOr("replica", "id", 1, 1);
     settings.listen = document.address("replica", "listen");
     settings.data = document.text("replica", "data");
     settings.join = document.flagOr("replica", "join", false);
     settings.electionTimeout = milliseconds(document.numberOr("replica", "election-timeout-ms", 1000, 100, 60000));
     settings.entryLease = milliseconds(document.numberOr("replica", "entry-lease-ms", 1500, 200, 60000));
     settings.snapshotInterval = document.numberOr("replica", "snapshot-entries", 10000, 10);
+    if (settings.formation)
+        return settings;
     for (const auto& key : document.keys("group")) {
         uint64_t id = 0;
         const auto parsed = std::from_chars(key.data(), key.data() + key.size(), id);
@@ -62,9 +105,11 @@
 
 Result<void> StateServer::start()
 {
-    auto recovered = m_store.open(m_settings.id);
+    auto recovered = openStore();
     if (!recovered)
         return tl::unexpected(recovered.error());
+    m_settings.id = recovered->identity.id();
+    m_identity = recovered->identity.identity();
     if (recovered->tornBytes > 0)
         Event(Level::Warn, "log_end_cut").with("bytes", recovered->tornBytes);
     net::HubHooks hooks;
@@ -76,6 +121,7 @@
     hubOptions.identity = replicaName(m_settings.id);
     hubOptions.listen = m_settings.listen.text();
     hubOptions.keys = m_settings.process.keys;
+    hubOptions.silenceLimit = m_settings.electionTimeout / silenceParts;
     m_hub = std::make_unique<net::Hub>(hubOptions, hooks);
     if (auto started = m_hub->start(); !started)
         return started;
@@ -87,10 +133,49 @@
     options.heartbeatInterval = m_settings.electionTimeout / 6;
     options.clockMargin = m_settings.electionTimeout / 5;
     options.snapshotInterval = m_settings.snapshotInterval;
+    raft::DurableState state = durableState(*recovered);
+    const size_t n = state.entries.size();
+    m_replica = std::make_unique<raft::Replica>(options, std::move(state), replicaHooks(), monotonicNow());
+    Event(Level::Info, "replica_started")
+        .with("id", m_settings.id)
+        .with("fresh", recovered->fresh ? "yes" : "no")
+        .with("entries", n)
+        .with("term", m_replica->term())
+        .with("routing_version", m_registry.routing().version());
+    return {};
+}
+
+Result<storage::Recovered> StateServer::openStore()
+{
+    if (!m_settings.formation)
+        return m_store.open(m_settings.id);
+    const Formation& formation = *m_settings.formation;
+    const bool isSeed = std::find(formation.seeds.begin(), formation.seeds.end(), m_settings.listen) != formation.seeds.end();
+    wire::DiskIdentity fresh;
+    fresh.set_identity(randomIdentity());
+    fresh.set_id(formation.firstStart && isSeed ? idOfSeed(m_settings.listen) : idOfJoiner());
+    if (formation.firstStart && isSeed) {
+        for (const auto& it : formation.seeds) {
+            wire::Member* member = fresh.mutable_initial_membership()->add_members();
+            member->set_id(idOfSeed(it));
+            member->set_address(it.text());
+            member->set_voter(true);
+        }
+    }
+    return m_store.openAs(fresh);
+}
+
+raft::DurableState StateServer::durableState(const storage::Recovered& recovered)
+{
     raft::DurableState state;
-    state.hardState = recovered->hardState;
-    state.snapshot = recovered->snapshot;
-    state.entries = recovered->entries;
+    state.hardState = recovered.hardState;
+    state.snapshot = recovered.snapshot;
+    state.entries = recovered.entries;
+    state.initialMembership = recovered.identity.initial_membership();
+    if (m_settings.formation) {
+        m_membership.emplace(MembershipOptions { .voters = 2 * m_settings.formation->toleratedLosses + 1 });
+        updateSeeds(m_settings.formation->seeds);
+    }
     for (const auto& it : m_settings.members) {
         if (it.first != m_settings.id)
             m_hub->connect(replicaName(it.first), it.second.text());
@@ -101,10 +186,16 @@
         member->set_address(it.second.text());
         member->set_voter(true);
     }
-    const size_t n = state.entries.size();
-    m_replica = std::make_unique<raft::Replica>(options, std::move(state), replicaHooks(), monotonicNow());
-    Event(Level::Info, "replica_started").with("id", m_settings.id).with("entries", n).with("term", m_replica->term());
-    return {};
+    return state;
+}
+
+void StateServer::updateSeeds(std::vector<settings::Address> seeds)
+{
+    m_hub->post([this, seeds = std::move(seeds)](TimePoint /*now*/) {
+        for (const auto& it : seeds)
+            if (it != m_settings.listen)
+                m_contacts.insert(it.text());
+    });
 }
 
 raft::ReplicaHooks StateServer::replicaHooks()
@@ -154,16 +245,33 @@
         Event(Level::Warn, "malformed_message").with("peer", peer.name);
         return;
     }
-    if (envelope.has_raft())
+    if (envelope.has_raft()) {
         m_replica->receive(now, envelope.raft());
-    else if (envelope.has_request())
-        onRequest(now, peer, envelope.request());
+        return;
+    }
+    if (envelope.has_reply()) {
+        learnReplicas(envelope.reply());
+        return;
+    }
+    onRequest(now, envelope.request(), [this, peer](const wire::StateReply& reply) {
+        wire::StateEnvelope answer;
+        *answer.mutable_reply() = reply;
+        m_hub->send(peer, answer.SerializeAsString());
+    });
+}
+
+void StateServer::submit(wire::StateRequest request, ReplyHook reply)
+{
+    m_hub->post([this, request = std::move(request), reply = std::move(reply)](TimePoint now) { onRequest(now, request, reply); });
 }
 
 void StateServer::onBatchEnd(TimePoint now)
 {
     connectMembers();
+    askToJoin(now);
+    noteLeader();
     decideOwnership(now);
+    decideMembership(now);
     proposeBatch(now);
     m_replica->tick(now);
     // Entries travel to the followers while the own disk syncs.
@@ -189,13 +297,85 @@
     m_term.Set(static_cast<double>(m_replica->term()));
 }
 
+// Links of the settings' members stay: they may be wanted again before this replica knows a membership.
 void StateServer::connectMembers()
 {
-    for (const auto& it : m_replica->membership().members()) {
-        if (it.id() == m_settings.id || m_hub->isConnected(replicaName(it.id())))
-            continue;
-        m_hub->connect(replicaName(it.id()), it.address());
+    std::map<std::string, std::string> wanted;
+    for (const auto& it : m_replica->membership().members())
+        if (it.id() != m_settings.id)
+            wanted[replicaName(it.id())] = it.address();
+    if (wanted == m_memberLinks)
+        return;
+    for (const auto& it : m_memberLinks)
+        if (!wanted.contains(it.first))
+            m_hub->disconnect(it.first);
+    for (const auto& it : wanted)
+        if (!m_hub->isConnected(it.first))
+            m_hub->connect(it.first, it.second);
+    m_memberLinks = wanted;
+}
+
+void StateServer::noteLeader()
+{
+    if (m_replica->leader() == m_knownLeader)
+        return;
+    m_knownLeader = m_replica->leader();
+    Event(m_knownLeader == 0 ? Level::Warn : Level::Info, m_knownLeader == 0 ? "leader_lost" : "leader_known")
+        .with("leader", m_knownLeader)
+        .with("term", m_replica->term());
+}
+
+// A replica asks all that it knows of: only the leader acts on it, the others answer with addresses.
+void StateServer::askToJoin(TimePoint now)
+{
+    if (!m_membership)
+        return;
+    if (m_replica->leader() != 0)
+        m_ledAt = now;
+    const bool led = now - m_ledAt < leaderlessTimeouts * m_settings.electionTimeout;
+    const bool belongs = m_replica->votes() && led;
+    if (belongs || now < m_joinDue) {
+        if (belongs && m_replica->leader() != 0)
+            for (const auto& it : m_contacts)
+                m_hub->disconnect(contactName(it));
+        return;
     }
+    m_joinDue = now + joinInterval;
+    wire::StateEnvelope envelope;
+    wire::Member* candidate = envelope.mutable_request()->mutable_join()->mutable_candidate();
+    candidate->set_id(m_settings.id);
+    candidate->set_identity(m_identity);
+    candidate->set_address(m_settings.listen.text());
+    for (const auto& it : m_contacts) {
+        if (!m_hub->isConnected(contactName(it)))
+            m_hub->connect(contactName(it), it);
+        m_hub->send({ net::Peer::Direction::Connected, contactName(it) }, envelope.SerializeAsString());
+    }
+}
+
+void StateServer::learnReplicas(const wire::StateReply& reply)
+{
+    for (const auto& it : reply.member_addresses())
+        if (it != m_settings.listen.text())
+            m_contacts.insert(it);
+}
+
+void StateServer::decideMembership(TimePoint now)
+{
+    if (!m_membership || !m_replica->hasLease(now) || m_ledTerm != m_replica->term())
+        return;
+    const auto change = m_membership->next(now, *m_replica);
+    if (!change)
+        return;
+    const bool adds = change->kind == MembershipChange::Kind::Add;
+    const std::string refusal = adds ? m_replica->changeMembership(now, change->member, change->replaces)
+                                     : m_replica->removeMember(now, change->member.id());
+    Event(Level::Info, adds ? "member_added" : "member_removed")
+        .with("id", change->member.id())
+        .with("address", change->member.address())
+        .with("replaces", change->replaces)
+        .with("members", static_cast<uint64_t>(m_replica->membership().members_size()))
+        .with("refused", refusal.empty() ? "no" : refusal);
 }
 
 void StateServer::decideOwnership(TimePoint now)
@@ -206,6 +386,8 @@
     if (m_ledTerm != m_replica->term()) {
         m_ledTerm = m_replica->term();
         m_policy.startTerm(now, m_ledTerm);
+        if (m_membership)
+            m_membership->startTerm(now);
         Event(Level::Info, "leading").with("term", m_ledTerm);
     }
     for (const auto& it : m_policy.assignments(now, m_registry)) {
@@ -214,35 +396,33 @@
     }
 }
 
-void StateServer::reply(const net::Peer& peer, const wire::StateReply& reply)
-{
-    wire::StateEnvelope envelope;
-    *envelope.mutable_reply() = reply;
-    m_hub->send(peer, envelope.SerializeAsString());
-}
-
-void StateServer::refuse(const net::Peer& peer, uint64_t requestId)
+void StateServer::refuse(uint64_t requestId, const ReplyHook& reply) const
 {
     wire::StateReply refusal;
     refusal.set_request_id(requestId);
     refusal.set_not_leader(true);
     refusal.set_leader(m_replica->leader());
-    reply(peer, refusal);
+    for (const auto& it : m_replica->membership().members()) {
+        refusal.add_member_addresses(it.address());
+        if (it.id() == m_replica->leader())
+            refusal.set_leader_address(it.address());
+    }
+    reply(refusal);
 }
 
-void StateServer::onRequest(TimePoint now, const net::Peer& peer, const wire::StateRequest& request)
+void StateServer::onRequest(TimePoint now, const wire::StateRequest& request, const ReplyHook& reply)
 {
     if (!m_replica->hasLease(now)) {
-        refuse(peer, request.request_id());
+        refuse(request.request_id(), reply);
         return;
     }
     if (request.has_propose())
-        onPropose(peer, request.request_id(), request.propose());
+        onPropose(request.request_id(), request.propose(), reply);
     else
-        answer(now, peer, request);
+        answer(now, request, reply);
 }
 
-void StateServer::answer(TimePoint now, const net::Peer& peer, const wire::StateRequest& request)
+void StateServer::answer(TimePoint now, const wire::StateRequest& request, const ReplyHook& reply)
 {
     wire::StateReply answer;
     answer.set_request_id(request.request_id());
@@ -267,14 +447,23 @@
         answer.mutable_membership()->set_reason(refusal);
     } else if (request.has_group_status()) {
         *answer.mutable_group_status() = groupStatus(now);
+    } else if (request.has_join()) {
+        if (m_membership)
+            m_membership->onCandidate(now, request.join().candidate());
+    } else if (request.has_routing()) {
+        *answer.mutable_routing()->mutable_routing() = m_registry.routing();
     }
-    reply(peer, answer);
+    reply(answer);
 }
 
 wire::HeartbeatReply StateServer::heartbeat(TimePoint now, const wire::EntryHeartbeat& heartbeat)
 {
     m_policy.onHeartbeat(now, heartbeat);
     wire::HeartbeatReply reply;
+    if (heartbeat.known_routing_version() < m_registry.routing().version()) {
+        *reply.mutable_routing() = m_registry.routing();
+        reply.mutable_routing()->clear_document();
+    }
     // A new leader has not heard all entries yet. A list that lacks some would make the others drop their links.
     const bool settled = m_ledTerm == m_replica->term() && m_policy.settled(now);
     const uint64_t entriesRevision = settled ? m_policy.entriesRevision(now) : heartbeat.known_entries_revision();
@@ -308,10 +497,10 @@
     return status;
 }
 
-void StateServer::onPropose(const net::Peer& peer, uint64_t requestId, const wire::ProposeRequest& request)
+void StateServer::onPropose(uint64_t requestId, const wire::ProposeRequest& request, const ReplyHook& reply)
 {
     m_batchWaiting.push_back(
-        Waiting { peer, requestId, static_cast<size_t>(m_batch.commands_size()), static_cast<size_t>(request.commands_size()) });
+        Waiting { reply, requestId, static_cast<size_t>(m_batch.commands_size()), static_cast<size_t>(request.commands_size()) });
     for (const auto& it : request.commands())
         *m_batch.add_commands() = it;
 }
@@ -330,7 +519,7 @@
         return;
     }
     for (const auto& it : waiting)
-        refuse(it.peer, it.requestId);
+        refuse(it.requestId, it.reply);
 }
 
 void StateServer::applyEntry(const wire::LogEntry& entry)
@@ -349,7 +538,7 @@
         return;
     for (const auto& it : found->second.waiting) {
         if (found->second.term != entry.term()) {
-            refuse(it.peer, it.requestId);
+            refuse(it.requestId, it.reply);
             continue;
         }
         wire::StateReply answer;
@@ -357,7 +546,7 @@
         wire::ProposeReply* proposed = answer.mutable_propose();
         for (size_t i = 0; i < it.resultCount; ++i)
             *proposed->add_results() = results[it.firstResult + i];
-        reply(it.peer, answer);
+        it.reply(answer);
     }
     m_proposals.erase(found);
 }
@@ -366,7 +555,7 @@
 {
     for (const auto& proposal : m_proposals)
         for (const auto& it : proposal.second.waiting)
-            refuse(it.peer, it.requestId);
+            refuse(it.requestId, it.reply);
     m_proposals.clear();
 }
 
--- a/fescuegw/storage/ReplicaStore.cpp
+++ b/fescuegw/storage/ReplicaStore.cpp
@@ -127,23 +127,45 @@
 
 std::string ReplicaStore::path(const std::string& name) const { return m_folder + "/" + name; }
 
-Result<Recovered> ReplicaStore::open(uint64_t id)
+Result<void> ReplicaStore::lockFolder()
 {
     if (mkdir(m_folder.c_str(), folderMode) != 0 && errno != EEXIST)
         return tl::unexpected(diskError(m_folder + ": can't be created"));
     m_lock = ::open(path(lockName).c_str(), O_CREAT | O_RDWR | O_CLOEXEC, fileMode);
     if (m_lock < 0 || flock(m_lock, LOCK_EX | LOCK_NB) != 0)
         return tl::unexpected(diskError(m_folder + ": locked by another process"));
+    return {};
+}
+
+Result<Recovered> ReplicaStore::open(uint64_t id)
+{
+    wire::DiskIdentity fresh;
+    fresh.set_id(id);
+    fresh.set_identity(randomIdentity());
+    auto recovered = openAs(fresh);
+    if (recovered && recovered->identity.id() != id)
+        return tl::unexpected(diskError(path(identityName) + ": belongs to another replica than " + std::to_string(id)));
+    return recovered;
+}
+
+Result<Recovered> ReplicaStore::openAs(const wire::DiskIdentity& fresh)
+{
+    if (auto locked = lockFolder(); !locked)
+        return tl::unexpected(locked.error());
+    return readFolder(fresh);
+}
+
+Result<Recovered> ReplicaStore::readFolder(const wire::DiskIdentity& fresh)
+{
     Recovered recovered;
     if (const auto content = readFile(path(identityName))) {
-        if (!recovered.identity.ParseFromString(*content) || recovered.identity.id() != id)
-            return tl::unexpected(diskError(path(identityName) + ": belongs to another replica than " + std::to_string(id)));
+        if (!recovered.identity.ParseFromString(*content))
+            return tl::unexpected(diskError(path(identityName) + ": damaged"));
     } else {
         if (readFile(path(logName)))
             return tl::unexpected(diskError(path(identityName) + ": missing beside a log"));
         recovered.fresh = true;
-        recovered.identity.set_id(id);
-        recovered.identity.set_identity(randomIdentity());
+        recovered.identity = fresh;
         if (auto saved = replaceFile(identityName, recovered.identity.SerializeAsString()); !saved)
             return tl::unexpected(saved.error());
     }
--- a/fescuegw/storage/ReplicaStore.h
+++ b/fescuegw/storage/ReplicaStore.h
@@ -47,6 +47,10 @@
     // lock, the folder belongs to another id, or the log is damaged before its end; the error names file and offset.
     Result<Recovered> open(uint64_t id);
 
+    // The same for a replica that has no number of its own in its settings: a fresh folder gets `fresh` as its identity, any
+    // other keeps the one it has.
+    Result<Recovered> openAs(const wire::DiskIdentity& fresh);
+
     // Stage records for the next frame.
     void stage(const wire::HardState&);
     void stage(const wire::LogEntry&);
@@ -63,6 +67,8 @@
     uint64_t logBytes() const;
 
 private:
+    Result<void> lockFolder();
+    Result<Recovered> readFolder(const wire::DiskIdentity& fresh);
     Result<void> writeAll(int descriptor, const std::string& data);
     Result<void> replaceFile(const std::string& name, const std::string& content);
     Result<void> syncFolder();
--- /dev/null
+++ b/fescuegw/wire/Direct.h
@@ -0,0 +1,39 @@
+// Conversions between the wire form of best-effort dispatching and the project's value types.
+#pragma once
+
+#include <direct.pb.h>
+
+#include "fescuegw/base/Resources.h"
+#include "fescuegw/base/Types.h"
+
+namespace fescuegw::wire {
+
+inline fescuegw::Resources toResources(const Resources& wire)
+{
+    return { static_cast<int64_t>(wire.cores_milli()), static_cast<int64_t>(wire.memory_mb()), static_cast<int64_t>(wire.gpus()) };
+}
+
+// What is below nothing (an upstream that turned out smaller than its load) is shown as nothing.
+inline Resources toWire(const fescuegw::Resources& resources)
+{
+    const auto clamp = [](int64_t n) { return static_cast<uint32_t>(n < 0 ? 0 : n); };
+    Resources wire;
+    wire.set_cores_milli(clamp(resources.coresMilli));
+    wire.set_memory_mb(clamp(resources.memoryMb));
+    wire.set_gpus(clamp(resources.gpus));
+    return wire;
+}
+
+inline StepTask toStepTask(const AttemptKey& key) { return { key.job(), key.step(), key.index() }; }
+
+inline AttemptKey toWire(const StepTask& task, uint32_t attempt)
+{
+    AttemptKey key;
+    key.set_job(task.job);
+    key.set_step(task.step);
+    key.set_index(task.index);
+    key.set_attempt(attempt);
+    return key;
+}
+
+} // namespace fescuegw::wire
