--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -89,6 +89,7 @@
         socket.set(zmq::sockopt::heartbeat_timeout, ms);
         socket.set(zmq::sockopt::tcp_maxrt, ms);
         socket.set(zmq::sockopt::connect_timeout, ms);
+        socket.set(zmq::sockopt::handshake_ivl, ms);
     }
 
     void setCommonOptions(zmq::socket_t& socket)
--- a/fescuegw/raft/Replica.cpp
+++ b/fescuegw/raft/Replica.cpp
@@ -5,6 +5,21 @@
 
 namespace fescuegw::raft {
 
+std::string_view toString(Role role)
+{
+    switch (role) {
+    case Role::Follower:
+        return "follower";
+    case Role::PreCandidate:
+        return "pre-candidate";
+    case Role::Candidate:
+        return "candidate";
+    case Role::Leader:
+        return "leader";
+    }
+    return "follower";
+}
+
 Replica::Replica(ReplicaOptions options, DurableState state, ReplicaHooks hooks, TimePoint now)
     : m_options(options)
     , m_hooks(std::move(hooks))
--- a/fescuegw/raft/Replica.h
+++ b/fescuegw/raft/Replica.h
@@ -62,6 +62,9 @@
     Leader,
 };
 
+// Returns "follower", "pre-candidate", "candidate" or "leader".
+std::string_view toString(Role);
+
 // Replication progress of one member as its leader knows it.
 struct Progress {
     uint64_t nextIndex = 1;
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -69,6 +69,8 @@
 std::optional<MembershipChange> MembershipPolicy::removal(TimePoint now, const raft::Replica& replica)
 {
     const auto& members = replica.membership().members();
+    // A member that comes back has its time anew.
+    std::erase_if(m_firstSeen, [&](const auto& it) { return findMember(replica.membership(), it.first) == nullptr; });
     const auto voters = std::count_if(members.begin(), members.end(), [](const wire::Member& it) { return it.voter(); });
     const bool surplus = static_cast<size_t>(voters) > m_options.voters;
     const wire::Member* longest = nullptr;
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -204,7 +204,10 @@
     hooks.send = [this](const wire::RaftMessage& m) {
         wire::StateEnvelope envelope;
         *envelope.mutable_raft() = m;
-        m_hub->send({ net::Peer::Direction::Connected, replicaName(m.to()) }, envelope.SerializeAsString());
+        // A replica that has just been added knows no members yet, but the leader has opened a link to it.
+        const std::string peer = replicaName(m.to());
+        const auto direction = m_hub->isConnected(peer) ? net::Peer::Direction::Connected : net::Peer::Direction::Accepted;
+        m_hub->send({ direction, peer }, envelope.SerializeAsString());
     };
     hooks.saveHardState = [this](const wire::HardState& it) { m_store.stage(it); };
     hooks.saveEntry = [this](const wire::LogEntry& it) { m_store.stage(it); };
@@ -309,14 +312,32 @@
     for (const auto& it : m_memberLinks)
         if (!wanted.contains(it.first))
             m_hub->disconnect(it.first);
-    for (const auto& it : wanted)
+    for (const auto& it : wanted) {
+        // Both links would have the same identity, and the far end keeps only the newest of them.
+        m_hub->disconnect(contactName(it.second));
         if (!m_hub->isConnected(it.first))
             m_hub->connect(it.first, it.second);
+    }
     m_memberLinks = wanted;
 }
 
+// Returns the link to the replica at `address`, which is opened if there is none.
+std::string StateServer::linkTo(const std::string& address)
+{
+    for (const auto& it : m_memberLinks)
+        if (it.second == address)
+            return it.first;
+    if (!m_hub->isConnected(contactName(address)))
+        m_hub->connect(contactName(address), address);
+    return contactName(address);
+}
+
 void StateServer::noteLeader()
 {
+    if (m_replica->role() != m_knownRole) {
+        m_knownRole = m_replica->role();
+        Event(Level::Info, "role_changed").with("role", toString(m_knownRole)).with("term", m_replica->term());
+    }
     if (m_replica->leader() == m_knownLeader)
         return;
     m_knownLeader = m_replica->leader();
@@ -346,11 +367,8 @@
     candidate->set_id(m_settings.id);
     candidate->set_identity(m_identity);
     candidate->set_address(m_settings.listen.text());
-    for (const auto& it : m_contacts) {
-        if (!m_hub->isConnected(contactName(it)))
-            m_hub->connect(contactName(it), it);
-        m_hub->send({ net::Peer::Direction::Connected, contactName(it) }, envelope.SerializeAsString());
-    }
+    for (const auto& it : m_contacts)
+        m_hub->send({ net::Peer::Direction::Connected, linkTo(it) }, envelope.SerializeAsString());
 }
 
 void StateServer::learnReplicas(const wire::StateReply& reply)
--- a/fescuegw/state/StateServer.h
+++ b/fescuegw/state/StateServer.h
@@ -103,6 +103,7 @@
     void askToJoin(TimePoint now);
     void learnReplicas(const wire::StateReply&);
     void connectMembers();
+    std::string linkTo(const std::string& address);
     void refuse(uint64_t requestId, const ReplyHook&) const;
     void noteLeader();
     void updateMetrics(TimePoint now);
@@ -124,6 +125,7 @@
     uint64_t m_ledTerm = 0;
     uint64_t m_identity = 0;
     uint64_t m_knownLeader = 0;
+    raft::Role m_knownRole = raft::Role::Follower;
     // Members by the names of their links.
     std::map<std::string, std::string> m_memberLinks;
     // Addresses at which replicas may be found, each with a link of its own until this replica votes.
