Jobs are held as long as their callers wait; placement leaves room for what other entries send

Cause: (1) the route's timeout does not bound best-effort jobs: callers wait 5 to 13 s and plans of up to 3.6 s were given up at 1.5 s; (2) all entries chose the agent that looked fastest, by estimates that were 40% off, until it was full: 40 ms of waiting at 40% load; (3) offers were up to 150 ms old. Ruled out: processor time (5 ms of overhead a job); the queue's order.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -34,7 +34,7 @@
     ArbiterSettings settings;
     settings.process = daemon::readProcessSettings(document);
     settings.seeds = group::readSeeds(document);
-    settings.offerInterval = std::chrono::milliseconds(document.numberOr("agent", "offer-ms", 150, 20, 1000));
+    settings.offerInterval = std::chrono::milliseconds(document.numberOr("agent", "offer-ms", 40, 20, 1000));
     settings.orderThreads = document.numberOr("agent", "order-threads", 3, 1, 32);
     settings.drainLimit = std::chrono::milliseconds(document.numberOr("agent", "drain-limit-ms", 4500, 0, 3600000));
     return settings;
--- a/fescuegw/direct/Admission.cpp
+++ b/fescuegw/direct/Admission.cpp
@@ -26,8 +26,7 @@
 
 Duration Admission::usefulFor(const JobRequest& request) const
 {
-    const Duration limit = std::min(request.patience, Duration(std::chrono::milliseconds(request.route.timeout_ms())));
-    return std::min(limit, m_options.lateObjectives * objective(request));
+    return std::min(request.patience, m_options.lateObjectives * objective(request));
 }
 
 uint32_t Admission::retryAfter(const JobRequest& request, Duration finish) const
--- a/fescuegw/direct/Admission.h
+++ b/fescuegw/direct/Admission.h
@@ -31,8 +31,12 @@
     // Returns the time after which its caller has no use for an answer, or is gone.
     Duration usefulFor(const JobRequest&) const;
 
-    // Returns whether a job that is expected to finish after `finish` is taken on.
-    bool admits(const JobRequest& request, Duration finish) const { return finish <= usefulFor(request) * (100 - m_options.reservePercent) / 100; }
+    // Returns whether a job is taken on of which the last task is expected to start after `wait` and to finish after `finish`.
+    // Where there is room at once, an estimate alone is no reason to refuse: it may be far off.
+    bool admits(const JobRequest& request, Duration wait, Duration finish) const
+    {
+        return wait == Duration() || finish <= usefulFor(request) * (100 - m_options.reservePercent) / 100;
+    }
 
     // Returns how long a task that is estimated to run for `run` may wait, when `elapsed` of the job's time has passed.
     Duration longestWait(const JobRequest& request, Duration run, Duration elapsed) const { return usefulFor(request) - elapsed - run; }
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -17,8 +17,6 @@
         return static_cast<uint64_t>(std::max<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0));
     }
 
-    Duration fromMs(uint64_t ms) { return std::chrono::milliseconds(ms); }
-
 } // namespace
 
 JobTable::JobTable(JobTableOptions options, JobTableHooks hooks)
@@ -39,7 +37,7 @@
     const bool busy = existing != m_jobs.end();
     Job job;
     job.received = now;
-    job.deadline = now + std::min(request.patience, fromMs(request.route.timeout_ms()));
+    job.deadline = now + request.patience;
     job.callers.push_back({ request.exchange, std::move(respond) });
     for (const auto& it : request.job.steps) {
         Step step;
@@ -75,6 +73,7 @@
     Placement placement(m_options.placement, m_offers, m_hooks.random);
     std::vector<Choice> choices;
     Duration finish {};
+    Duration wait {};
     for (size_t step = 0; step < job.steps.size(); ++step) {
         if (!isReady(job, step))
             continue;
@@ -86,10 +85,11 @@
                 return false;
             }
             finish = std::max(finish, placed->finish);
+            wait = std::max(wait, placed->wait);
             choices.push_back({ step, index, *placed });
         }
     }
-    if (!m_admission.admits(request, finish)) {
+    if (!m_admission.admits(request, wait, finish)) {
         const uint32_t retry = m_admission.retryAfter(request, finish);
         answer(now, job, { JobOutcome::Kind::NotRun, "expected_after_" + std::to_string(toMs(finish)) + "_ms", retry });
         return false;
--- a/fescuegw/direct/Placement.cpp
+++ b/fescuegw/direct/Placement.cpp
@@ -1,6 +1,7 @@
 #include "fescuegw/direct/Placement.h"
 
 #include <algorithm>
+#include <array>
 
 namespace fescuegw::direct {
 
@@ -9,6 +10,11 @@
     // Finishes closer than this are alike; then the agent with more room is taken.
     constexpr Duration resolution = std::chrono::milliseconds(8);
 
+    // Offers are some moments old, and other entries place by them too: of an upstream with little room left, some is gone by
+    // the time that a task comes. Indexed by how many further tasks of the size would fit.
+    constexpr std::array crowding { std::chrono::milliseconds(32), std::chrono::milliseconds(24), std::chrono::milliseconds(16),
+        std::chrono::milliseconds(8) };
+
     bool hasLabel(const wire::UpstreamOffer& offer, const std::string& label)
     {
         return std::find(offer.labels().begin(), offer.labels().end(), label) != offer.labels().end();
@@ -40,7 +46,7 @@
     const auto tentative = m_tentative.find(id);
     if (tentative != m_tentative.end())
         free -= tentative->second.taken;
-    Placed placed { id, {}, {} };
+    Placed placed { id, {}, {}, {} };
     if (!step.need.fitsInto(free)) {
         const int n = view.offer.start_in_ms_size();
         if (n > 0)
@@ -52,6 +58,8 @@
         placed.wait += run * ahead / std::max<int64_t>(view.capacity.coresMilli, 1);
     }
     placed.finish = placed.wait + run;
+    const int64_t further = free.coresMilli / std::max<int64_t>(step.need.coresMilli, 1) - 1;
+    placed.cost = placed.finish + (further < static_cast<int64_t>(crowding.size()) ? Duration(crowding.at(static_cast<size_t>(std::max<int64_t>(further, 0)))) : Duration());
     return placed;
 }
 
@@ -75,8 +83,8 @@
         const auto tentative = m_tentative.find(*id);
         const int64_t room = view->free.coresMilli - (tentative == m_tentative.end() ? 0 : tentative->second.taken.coresMilli);
         const bool avoided = avoid.contains(*id);
-        const bool sooner = best && candidate.finish / resolution < best->finish / resolution;
-        const bool alike = best && candidate.finish / resolution == best->finish / resolution;
+        const bool sooner = best && candidate.cost / resolution < best->cost / resolution;
+        const bool alike = best && candidate.cost / resolution == best->cost / resolution;
         if (!best || (bestAvoided && !avoided) || (avoided == bestAvoided && (sooner || (alike && room > bestRoom)))) {
             best = candidate;
             bestRoom = room;
--- a/fescuegw/direct/Placement.h
+++ b/fescuegw/direct/Placement.h
@@ -19,6 +19,8 @@
     Duration wait {};
     // Wait and run time.
     Duration finish {};
+    // What the choice goes by.
+    Duration cost {};
 
     friend bool operator==(const Placed&, const Placed&) = default;
 };
