--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -49,14 +49,14 @@
               [this](uint64_t serial, const StartOrder& order) { m_upstream->start(serial, order); },
               [this](const StopOrder& order) { m_upstream->stop(order); },
               [this](const std::string& entry, const wire::AttemptReport& it) { report(entry, it); },
+              [this](const std::string& entry, const wire::Grant& it) { grant(entry, it); },
           })
     , m_done(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "done"))
     , m_failed(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "failed"))
     , m_lost(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "lost"))
     , m_notStarted(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "not_started"))
     , m_running(metrics.gauge("fescuegw_agent_running", "Attempts that hold room"))
-    , m_waiting(metrics.gauge("fescuegw_agent_waiting", "Attempts that wait for room"))
-    , m_wait(metrics.latency("fescuegw_agent_wait_ms", "How long attempts waited for room"))
+    , m_grants(metrics.counter("fescuegw_agent_grants_total", "Grants of room to entries"))
     , m_run(metrics.latency("fescuegw_agent_run_ms", "How long attempts ran"))
 {
 }
@@ -244,7 +244,6 @@
         m_notStarted.Increment();
         break;
     default:
-        m_wait.Observe(report.wait_ms());
         break;
     }
     for (auto& it : m_links) {
@@ -255,6 +254,17 @@
     }
 }
 
+void ArbiterServer::grant(const std::string& entry, const wire::Grant& grant)
+{
+    m_grants.Increment();
+    for (auto& it : m_links) {
+        if (it.second.entry != entry)
+            continue;
+        it.second.grants.push_back(grant);
+        it.second.urgent = true;
+    }
+}
+
 void ArbiterServer::sendOffers(TimePoint now)
 {
     std::optional<wire::UpstreamOffer> offer;
@@ -274,6 +284,9 @@
         message.set_first_report(link.firstReport);
         for (const auto& report : link.reports)
             *message.add_reports() = report;
+        for (const auto& grant : link.grants)
+            *message.add_grants() = grant;
+        link.grants.clear();
         link.urgent = false;
         link.offerDue = now + m_settings.offerInterval;
         link.resendDue = now + reportRepeat;
@@ -300,7 +313,6 @@
     expireLinks(now);
     sendOffers(now);
     m_running.Set(static_cast<double>(m_table.running()));
-    m_waiting.Set(static_cast<double>(m_table.waiting()));
     m_ready = m_table.accepting(now);
     if (drained(now))
         m_hub->stop();
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -64,6 +64,7 @@
         uint64_t seenSequence = 0;
         uint64_t firstReport = 1;
         std::vector<wire::AttemptReport> reports;
+        std::vector<wire::Grant> grants;
         bool urgent = false;
     };
 
@@ -73,6 +74,7 @@
     void onView(TimePoint now, const wire::View&);
     void expireLinks(TimePoint now);
     void report(const std::string& entry, const wire::AttemptReport&);
+    void grant(const std::string& entry, const wire::Grant&);
     void sendOffers(TimePoint now);
     bool drained(TimePoint now) const;
 
@@ -95,8 +97,7 @@
     prometheus::Counter& m_lost;
     prometheus::Counter& m_notStarted;
     prometheus::Gauge& m_running;
-    prometheus::Gauge& m_waiting;
-    prometheus::Histogram& m_wait;
+    prometheus::Counter& m_grants;
     prometheus::Histogram& m_run;
 };
 
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -1,7 +1,7 @@
 #include "fescuegw/arbiter/RunTable.h"
 
 #include <algorithm>
-#include <array>
+#include <limits>
 #include <set>
 
 #include "fescuegw/logging/Log.h"
@@ -18,13 +18,6 @@
     constexpr uint64_t fenceStep = 10000;
     // Longer than any caller sends the same job again.
     constexpr Duration runNumberMemory = std::chrono::seconds(30);
-    // Cores of a task of which nothing is known, for the estimate of delays.
-    constexpr int64_t typicalCoresMilli = 6000;
-    // Delays are estimated for this many priorities.
-    constexpr size_t priorities = 4;
-    // A run that outlasts its estimate is expected to end after this share of it.
-    constexpr int overrunShare = 4;
-    constexpr Duration shortestRest = std::chrono::milliseconds(5);
 
     uint32_t toMs(Duration duration)
     {
@@ -42,6 +35,7 @@
     : m_options(options)
     , m_hooks(std::move(hooks))
     , m_fence(fence)
+    , m_grants(options.grants)
 {
 }
 
@@ -112,11 +106,14 @@
     const TimePoint until = fromMicros(message.seen_clock_us()) + m_options.entryLease;
     TimePoint& lease = m_entryLeases[message.entry()];
     lease = std::max(lease, until);
+    for (const uint64_t it : message.declined_grants())
+        m_grants.close(it);
+    m_grants.onDemand(now, message.entry(), message.demand());
     for (const auto& it : message.stops())
         onStop(now, message.entry(), it);
     for (const auto& it : message.starts())
         onStart(now, message.entry(), it);
-    fill(now);
+    grantRoom(now);
 }
 
 void RunTable::onStart(TimePoint now, const std::string& entry, const wire::StartTask& request)
@@ -133,13 +130,29 @@
     });
     if (twice)
         return;
+    m_grants.close(request.grant());
+    const std::string reason = refusal(now, run);
     const auto added = m_runs.emplace(++m_lastSerial, std::move(run)).first;
+    if (!reason.empty()) {
+        finish(now, added, wire::ATTEMPT_NOT_STARTED, reason);
+        return;
+    }
+    added->second.run = nextRunNumber(now, added->second.task, request.key().attempt());
+    order(now, added->first, added->second);
+}
+
+// Returns why a task can't be started now, or "".
+std::string RunTable::refusal(TimePoint now, const Run& run)
+{
     if (!accepting(now))
-        finish(now, added, wire::ATTEMPT_NOT_STARTED, "not_accepting");
-    else if (!added->second.need.fitsInto(m_announcement->capacity))
-        finish(now, added, wire::ATTEMPT_NOT_STARTED, "too_large");
-    else if (m_entryLeases[entry] <= now)
-        finish(now, added, wire::ATTEMPT_NOT_STARTED, "entry_lease_over");
+        return "not_accepting";
+    if (!m_health.admits(now, running()))
+        return "ejected";
+    if (m_entryLeases[run.entry] <= now)
+        return "entry_lease_over";
+    if (now > run.startBy)
+        return "too_late";
+    return run.need.fitsInto(free()) ? "" : "no_room";
 }
 
 void RunTable::onStop(TimePoint now, const std::string& entry, const wire::AttemptKey& key)
@@ -149,9 +162,7 @@
         Run& run = it->second;
         if (run.entry != entry || run.task != task || run.request.key().attempt() != key.attempt())
             continue;
-        if (run.state == State::Waiting)
-            finish(now, it, wire::ATTEMPT_NOT_STARTED, "withdrawn");
-        else if (run.state != State::Stopping)
+        if (run.state != State::Stopping)
             stop(now, run, "withdrawn");
         return;
     }
@@ -195,7 +206,6 @@
     wire::AttemptReport report;
     *report.mutable_key() = run.request.key();
     report.set_state(wire::ATTEMPT_STARTED);
-    report.set_wait_ms(toMs(run.sentAt - run.received));
     m_hooks.report(run.entry, report);
 }
 
@@ -237,7 +247,7 @@
             order(now, serial, run);
         break;
     }
-    fill(now);
+    grantRoom(now);
 }
 
 // The upstream has refused an order, so nothing runs under its number.
@@ -253,7 +263,7 @@
 RunTable::Runs::iterator RunTable::find(const StepTask& task, uint64_t number)
 {
     return std::find_if(m_runs.begin(), m_runs.end(), [&](const auto& it) {
-        return it.second.state != State::Waiting && it.second.run == number && it.second.task == task;
+        return it.second.run == number && it.second.task == task;
     });
 }
 
@@ -323,7 +333,7 @@
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         const Run& run = it->second;
-        if (run.state != State::Waiting && !listed.contains(it->first)) {
+        if (!listed.contains(it->first)) {
             // The listing was made after the run was known to be there, or after no order for it could be carried out.
             const bool vanished = run.confirmed && run.confirmedAt < sent;
             const bool neverStarted = !run.confirmed && run.sentAt < sent && listing.clockMs > run.leaseUntilMs;
@@ -382,7 +392,6 @@
     report.set_state(state);
     report.set_reason(reason);
     report.set_run_ms(run.confirmed ? toMs(now - run.confirmedAt) : 0);
-    report.set_wait_ms(toMs((run.state == State::Waiting ? now : run.sentAt) - run.received));
     Event(state == wire::ATTEMPT_DONE ? Level::Info : Level::Warn, "attempt_ended")
         .with("request", run.task.job)
         .with("task", std::to_string(run.task.step) + "/" + std::to_string(run.task.index))
@@ -391,7 +400,7 @@
         .with("entry", run.entry)
         .with("state", wire::AttemptState_Name(state))
         .with("reason", reason)
-        .with("wait_ms", report.wait_ms())
+        .with("since_received_ms", toMs(now - run.received))
         .with("run_ms", report.run_ms())
         .with("estimate_ms", run.request.estimate_ms())
         .with("percent", run.percent)
@@ -407,34 +416,22 @@
 {
     if (now <= m_lapseAt)
         return;
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        if (it->second.state != State::Waiting)
-            finish(now, it, wire::ATTEMPT_LOST, "lease_lapsed");
-        it = next;
-    }
+    while (!m_runs.empty())
+        finish(now, m_runs.begin(), wire::ATTEMPT_LOST, "lease_lapsed");
 }
 
 void RunTable::expire(TimePoint now)
 {
-    const bool open = accepting(now);
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        Run& run = it->second;
+    for (auto& it : m_runs) {
+        Run& run = it.second;
         const bool leased = m_entryLeases[run.entry] > now;
-        if (run.state == State::Waiting && !open)
-            finish(now, it, wire::ATTEMPT_NOT_STARTED, "not_accepting");
-        else if (run.state == State::Waiting && now > run.startBy)
-            finish(now, it, wire::ATTEMPT_NOT_STARTED, "waited_too_long");
-        else if (run.state == State::Waiting && !leased)
-            finish(now, it, wire::ATTEMPT_NOT_STARTED, "entry_lease_over");
-        else if (run.state == State::Stopping && now - run.stopSent >= m_options.stopRepeat)
+        if (run.state == State::Stopping && now - run.stopSent >= m_options.stopRepeat)
             stop(now, run, run.stopReason);
-        else if ((run.state == State::Starting || run.state == State::Running) && !leased)
+        else if (run.state != State::Stopping && !leased)
             stop(now, run, "entry_lease_over");
-        it = next;
     }
     std::erase_if(m_entryLeases, [&](const auto& it) { return it.second + runNumberMemory < now; });
+    m_grants.expire(now);
 }
 
 void RunTable::tick(TimePoint now)
@@ -445,7 +442,7 @@
     }
     lapse(now);
     expire(now);
-    fill(now);
+    grantRoom(now);
 }
 
 void RunTable::drain(TimePoint now)
@@ -460,107 +457,21 @@
         && m_foreign == 0 && m_listedAt && now - *m_listedAt <= m_options.listingAge;
 }
 
-RunTable::Runs::iterator RunTable::nextWaiting()
-{
-    auto first = m_runs.end();
-    for (auto it = m_runs.begin(); it != m_runs.end(); ++it) {
-        if (it->second.state != State::Waiting)
-            continue;
-        if (first == m_runs.end() || it->second.request.priority() < first->second.request.priority())
-            first = it;
-    }
-    return first;
-}
-
-// Answers full upstreams: what waits is started by priority, then in order of arrival, as soon as an end is listed.
-void RunTable::fill(TimePoint now)
-{
-    if (!accepting(now))
-        return;
-    while (true) {
-        const auto it = nextWaiting();
-        if (it == m_runs.end() || !m_health.admits(now, running()))
-            return;
-        Run& run = it->second;
-        if (!(used() + run.need).fitsInto(m_announcement->capacity))
-            return;
-        run.run = nextRunNumber(now, run.task, run.request.key().attempt());
-        order(now, it->first, run);
-    }
-}
-
-Resources RunTable::used() const
+Resources RunTable::free() const
 {
-    Resources used;
+    Resources free = m_announcement ? m_announcement->capacity : Resources();
     for (const auto& it : m_runs)
-        if (it.second.state != State::Waiting)
-            used += it.second.need;
-    return used;
-}
-
-size_t RunTable::running() const
-{
-    return static_cast<size_t>(
-        std::count_if(m_runs.begin(), m_runs.end(), [](const auto& it) { return it.second.state != State::Waiting; }));
-}
-
-size_t RunTable::waiting() const { return m_runs.size() - running(); }
-
-bool RunTable::hasRunsOf(const std::string& entry) const
-{
-    return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& it) { return it.second.entry == entry; });
-}
-
-Duration RunTable::expectedRest(TimePoint now, const Run& run) const
-{
-    const Duration whole = fromMs(run.request.estimate_ms()) * m_slowness.percent() / 100;
-    if (run.state == State::Waiting)
-        return whole;
-    const Duration elapsed = now - (run.confirmed ? run.confirmedAt : run.sentAt);
-    if (elapsed < whole)
-        return whole - elapsed;
-    return std::max(whole / overrunShare, shortestRest);
+        free -= it.second.need;
+    return free - m_grants.held();
 }
 
-// Plays the ends that are expected against what waits, for a further task of each priority.
-std::vector<uint32_t> RunTable::startDelays(TimePoint now) const
+void RunTable::grantRoom(TimePoint now)
 {
-    std::vector<std::pair<Duration, int64_t>> ends;
-    int64_t freeCores = m_announcement->capacity.coresMilli;
-    std::vector<const Run*> line;
-    for (const auto& it : m_runs) {
-        if (it.second.state == State::Waiting) {
-            line.push_back(&it.second);
-            continue;
-        }
-        freeCores -= it.second.need.coresMilli;
-        ends.emplace_back(expectedRest(now, it.second), it.second.need.coresMilli);
-    }
-    std::stable_sort(line.begin(), line.end(), [](const Run* a, const Run* b) { return a->request.priority() < b->request.priority(); });
-    std::sort(ends.begin(), ends.end());
-    std::vector<uint32_t> delays(priorities, 0);
-    Duration clock {};
-    size_t nextEnd = 0;
-    const auto waitFor = [&](int64_t cores) {
-        while (freeCores < cores && nextEnd < ends.size()) {
-            clock = std::max(clock, ends[nextEnd].first);
-            freeCores += ends[nextEnd].second;
-            ++nextEnd;
-        }
-    };
-    size_t inLine = 0;
-    for (size_t priority = 0; priority < priorities; ++priority) {
-        while (inLine < line.size() && line[inLine]->request.priority() <= priority) {
-            const Run& run = *line[inLine++];
-            waitFor(run.need.coresMilli);
-            freeCores -= run.need.coresMilli;
-            ends.emplace_back(clock + expectedRest(now, run), run.need.coresMilli);
-            std::sort(ends.begin() + static_cast<std::ptrdiff_t>(nextEnd), ends.end());
-        }
-        waitFor(typicalCoresMilli);
-        delays[priority] = toMs(clock);
-    }
-    return delays;
+    if (!accepting(now) || !m_health.admits(now, running() + m_grants.heldCount()))
+        return;
+    const size_t most = m_health.ejected() ? 1 : std::numeric_limits<size_t>::max();
+    for (const auto& it : m_grants.grant(now, free(), most))
+        m_hooks.grant(it.entry, it.grant);
 }
 
 wire::UpstreamOffer RunTable::offer(TimePoint now) const
@@ -574,15 +485,10 @@
     for (const auto& it : m_announcement->labels)
         offer.add_labels(it);
     *offer.mutable_capacity() = wire::toWire(m_announcement->capacity);
-    Resources free = m_announcement->capacity;
-    for (const auto& it : m_runs)
-        free -= it.second.need;
-    *offer.mutable_free() = wire::toWire(free);
+    *offer.mutable_free() = wire::toWire(free());
     // An ejected upstream is offered for its probe only.
-    offer.set_accepting(accepting(now) && m_health.admits(now, m_runs.size()));
+    offer.set_accepting(accepting(now) && m_health.admits(now, running()));
     offer.set_slowness_percent(m_slowness.percent());
-    for (const uint32_t it : startDelays(now))
-        offer.add_start_in_ms(it);
     return offer;
 }
 
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -10,6 +10,7 @@
 
 #include <direct.pb.h>
 
+#include "fescuegw/arbiter/GrantBook.h"
 #include "fescuegw/arbiter/Slowness.h"
 #include "fescuegw/arbiter/Upstream.h"
 #include "fescuegw/arbiter/UpstreamClock.h"
@@ -32,6 +33,7 @@
     Duration idleHoldWait { std::chrono::milliseconds(200) };
     // A start without an answer is sent again this often under the same number.
     uint32_t startRepeats = 2;
+    GrantOptions grants;
 };
 
 struct RunTableHooks {
@@ -39,10 +41,12 @@
     std::function<void(const StopOrder&)> stop;
     // `entry` is the identity of the process that asked for the attempt.
     std::function<void(const std::string& entry, const wire::AttemptReport&)> report;
+    std::function<void(const std::string& entry, const wire::Grant&)> grant;
 };
 
 // Arbitrates the room of one upstream among all entries. Nothing starts beyond the capacity that it announced: room is taken
-// when a start is sent, and given back when the end is listed or it is certain that nothing runs. Not thread-safe.
+// when a start is sent, and given back when the end is listed or it is certain that nothing runs. What finds no room is given
+// back at once; it waits at its entry. Not thread-safe.
 class RunTable {
 public:
     RunTable(RunTableOptions, uint64_t fence, RunTableHooks);
@@ -64,23 +68,19 @@
     // Returns the next hold to send.
     HoldOrder nextHold(TimePoint now);
 
-    // Ends leases and waits that have run out, and starts what fits.
+    // Ends leases that have run out, and grants room.
     void tick(TimePoint now);
 
-    // Starts nothing more; what waits is given back.
+    // Starts nothing more.
     void drain(TimePoint now);
 
     wire::UpstreamOffer offer(TimePoint now) const;
     const std::optional<Announcement>& announcement() const { return m_announcement; }
-    size_t running() const;
-    size_t waiting() const;
+    size_t running() const { return m_runs.size(); }
     bool accepting(TimePoint now) const;
-    // Returns whether `entry` has attempts here.
-    bool hasRunsOf(const std::string& entry) const;
 
 private:
     enum class State : uint8_t {
-        Waiting,
         // Ordered; room is taken.
         Starting,
         Running,
@@ -93,7 +93,7 @@
         wire::StartTask request;
         StepTask task;
         Resources need;
-        State state = State::Waiting;
+        State state = State::Starting;
         TimePoint received;
         TimePoint startBy;
         uint64_t run = 0;
@@ -124,11 +124,10 @@
     void repeatOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
     void lapse(TimePoint now);
     void expire(TimePoint now);
-    void fill(TimePoint now);
-    Runs::iterator nextWaiting();
-    Resources used() const;
-    std::vector<uint32_t> startDelays(TimePoint now) const;
-    Duration expectedRest(TimePoint now, const Run&) const;
+    void grantRoom(TimePoint now);
+    std::string refusal(TimePoint now, const Run&);
+    // Returns what is neither taken nor granted.
+    Resources free() const;
     uint64_t nextRunNumber(TimePoint now, const StepTask&, uint32_t attempt);
 
     RunTableOptions m_options;
@@ -139,6 +138,7 @@
     UpstreamClock m_clock;
     UpstreamHealth m_health;
     Slowness m_slowness;
+    GrantBook m_grants;
     Runs m_runs;
     uint64_t m_lastSerial = 0;
     std::map<std::string, TimePoint> m_entryLeases;
--- a/fescuegw/direct/Admission.cpp
+++ b/fescuegw/direct/Admission.cpp
@@ -29,11 +29,10 @@
     return std::min(request.patience, m_options.lateObjectives * objective(request));
 }
 
-uint32_t Admission::retryAfter(const JobRequest& request, Duration finish) const
+Duration Admission::longestWait(const JobRequest& request) const
 {
-    const Duration excess = std::max(finish - usefulFor(request), Duration());
-    const auto s = std::chrono::duration_cast<std::chrono::seconds>(excess).count() + 1;
-    return std::clamp(static_cast<uint32_t>(s), m_options.leastRetryS, m_options.mostRetryS);
+    const Duration slack = std::min(objective(request), request.patience) - longestChain(request.job) - m_options.overhead;
+    return std::max(slack, Duration());
 }
 
 } // namespace fescuegw::direct
--- a/fescuegw/direct/Admission.h
+++ b/fescuegw/direct/Admission.h
@@ -1,4 +1,4 @@
-// Whether a job is taken on, and how long its tasks may wait.
+// Which jobs are taken on, and for how long their tasks may wait.
 #pragma once
 
 #include <cstdint>
@@ -10,14 +10,14 @@
 struct AdmissionOptions {
     // Times its objective within which a late answer is still of use to its caller.
     int lateObjectives = 3;
-    // Part of the time left that is kept for messages and for estimates that were too low, in percent.
-    int reservePercent = 10;
-    // Shortest and longest advice when to come back, in seconds.
-    uint32_t leastRetryS = 1;
-    uint32_t mostRetryS = 5;
+    // Time kept for messages, and for starting and ending runs.
+    Duration overhead { std::chrono::milliseconds(15) };
+    // Advice when to come back, in seconds: overload lasts about as long as the bursts that cause it.
+    uint32_t retryAfterS = 2;
 };
 
-// Answers load beyond the capacity: a job that can't be served in time is refused at once, before any of its tasks starts.
+// Answers load beyond the capacity: a job that would come too late is refused as soon as that is known and while none of its
+// tasks has started, so that those that are served come in time. Every function takes the job as its caller sent it.
 class Admission {
 public:
     explicit Admission(AdmissionOptions options = {})
@@ -31,18 +31,13 @@
     // Returns the time after which its caller has no use for an answer, or is gone.
     Duration usefulFor(const JobRequest&) const;
 
-    // Returns whether a job is taken on of which the last task is expected to start after `wait` and to finish after `finish`.
-    // Where there is room at once, an estimate alone is no reason to refuse: it may be far off.
-    bool admits(const JobRequest& request, Duration wait, Duration finish) const
-    {
-        return wait == Duration() || finish <= usefulFor(request) * (100 - m_options.reservePercent) / 100;
-    }
+    // Returns how long its first task may wait for the job to be on time still.
+    Duration longestWait(const JobRequest&) const;
 
-    // Returns how long a task that is estimated to run for `run` may wait, when `elapsed` of the job's time has passed.
-    Duration longestWait(const JobRequest& request, Duration run, Duration elapsed) const { return usefulFor(request) - elapsed - run; }
+    // Returns whether a job is taken on when tasks that go before its own have waited for `waited` and still do.
+    bool admits(const JobRequest& request, Duration waited) const { return waited <= longestWait(request); }
 
-    // Returns when to come back, in seconds, with `finish` expected now.
-    uint32_t retryAfter(const JobRequest&, Duration finish) const;
+    uint32_t retryAfter() const { return m_options.retryAfterS; }
 
 private:
     AdmissionOptions m_options;
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -24,6 +24,7 @@
     , m_hooks(std::move(hooks))
     , m_admission(options.admission)
     , m_offers(options.offers)
+    , m_placement(options.placement, m_offers, m_hooks.random)
 {
 }
 
@@ -45,14 +46,37 @@
         job.steps.push_back(std::move(step));
     }
     job.request = std::move(request);
-    if (busy || m_jobs.size() >= m_options.mostJobs) {
-        // The caller asks again before the attempts of its last try are certain to have ended.
-        answer(now, job, { JobOutcome::Kind::NotRun, busy ? "earlier_attempts_ending" : "too_many_jobs", 1 });
+    job.number = ++m_lastNumber;
+    // A caller may ask again before the attempts of its last try are certain to have ended.
+    const std::string reason = busy ? "earlier_attempts_ending" : refusal(now, job);
+    if (!reason.empty()) {
+        answer(now, job, { JobOutcome::Kind::NotRun, reason, m_admission.retryAfter() });
         return;
     }
-    if (!admit(now, job))
-        return;
-    m_jobs.emplace(job.request.id, std::move(job));
+    ++m_counters.admitted;
+    Job& added = m_jobs.emplace(job.request.id, std::move(job)).first->second;
+    queueReady(now, added);
+    serveLine(now);
+}
+
+// Returns why a job is not taken on, or "".
+std::string JobTable::refusal(TimePoint now, const Job& job) const
+{
+    const wire::Route& route = job.request.route;
+    if (m_jobs.size() >= m_options.mostJobs)
+        return "too_many_jobs";
+    const auto agents = m_offers.usable(now, route.service());
+    if (agents.empty())
+        return "no_upstream";
+    for (size_t step = 0; step < job.steps.size(); ++step) {
+        const PlacementWish asked = wish(now, job, step, 0);
+        const bool possible = std::any_of(agents.begin(), agents.end(),
+            [&](const auto& it) { return m_placement.expectedRun(*it.first, *it.second, asked).has_value(); });
+        if (!possible)
+            return "no_upstream_fits";
+    }
+    const Duration waited = m_line.longestWait(now, route.service(), route.priority());
+    return m_admission.admits(job.request, waited) ? "" : "line_of_" + std::to_string(toMs(waited)) + "_ms";
 }
 
 bool JobTable::isReady(const Job& job, size_t step) const
@@ -61,97 +85,128 @@
     return std::all_of(after.begin(), after.end(), [&](uint32_t it) { return job.steps[it].done == job.steps[it].tasks.size(); });
 }
 
-// Places all tasks that may start now, and takes the job on only if the last of them is expected to finish in time.
-bool JobTable::admit(TimePoint now, Job& job)
+void JobTable::queueReady(TimePoint now, Job& job)
 {
-    struct Choice {
-        size_t step;
-        size_t index;
-        Placed placed;
-    };
-    const JobRequest& request = job.request;
-    Placement placement(m_options.placement, m_offers, m_hooks.random);
-    std::vector<Choice> choices;
-    Duration finish {};
-    Duration wait {};
     for (size_t step = 0; step < job.steps.size(); ++step) {
         if (!isReady(job, step))
             continue;
+        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index)
+            if (job.steps[step].tasks[index].state == TaskState::Pending && !job.steps[step].tasks[index].waiting)
+                queue(now, job, step, index);
+    }
+}
+
+LinePosition JobTable::position(const Job& job, size_t step, size_t index) const
+{
+    return { job.request.route.priority(), !job.mayHaveRun, job.number, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
+}
+
+void JobTable::queue(TimePoint now, Job& job, size_t step, size_t index)
+{
+    Task& task = job.steps[step].tasks[index];
+    task.waiting = true;
+    task.queuedAt = task.queuedAt.value_or(now);
+    const StepTask key { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
+    m_line.add(position(job, step, index), { key, job.request.route.service(), job.request.job.steps[step].need, *task.queuedAt });
+}
+
+void JobTable::unqueue(Job& job)
+{
+    for (size_t step = 0; step < job.steps.size(); ++step) {
         for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            const auto placed = placement.place(now, request.route.service(), request.route.priority(), request.job.steps[step], {},
-                job.steps[step].sharing);
-            if (!placed) {
-                answer(now, job, { JobOutcome::Kind::NotRun, "no_upstream", 1 });
-                return false;
-            }
-            finish = std::max(finish, placed->finish);
-            wait = std::max(wait, placed->wait);
-            choices.push_back({ step, index, *placed });
+            Task& task = job.steps[step].tasks[index];
+            if (task.waiting)
+                m_line.remove(position(job, step, index));
+            task.waiting = false;
         }
     }
-    if (!m_admission.admits(request, wait, finish)) {
-        const uint32_t retry = m_admission.retryAfter(request, finish);
-        answer(now, job, { JobOutcome::Kind::NotRun, "expected_after_" + std::to_string(toMs(finish)) + "_ms", retry });
-        return false;
+}
+
+// While a job can be on time, only upstreams where it is expected to be will do.
+PlacementWish JobTable::wish(TimePoint now, const Job& job, size_t step, size_t index) const
+{
+    constexpr int tolerance = 2;
+    const StepDemand& demand = job.request.job.steps[step];
+    const Duration estimate = std::chrono::milliseconds(demand.estimateMs);
+    const Duration left = job.received + m_admission.objective(job.request) - now;
+    const Duration usefulLeft = job.received + m_admission.usefulFor(job.request) - now;
+    PlacementWish wish;
+    wish.service = job.request.route.service();
+    wish.step = &demand;
+    wish.avoid = &job.steps[step].tasks[index].avoid;
+    wish.sharing = &job.steps[step].sharing;
+    wish.longestRun = left >= estimate ? left : std::max(usefulLeft, tolerance * estimate);
+    return wish;
+}
+
+// Places what waits, in the order of the line, where there is room.
+void JobTable::serveLine(TimePoint now)
+{
+    // The least that found no room, by service: what needs as much or more is not tried again.
+    std::map<std::string, int64_t> failed;
+    for (auto it = m_line.tasks().begin(); it != m_line.tasks().end();) {
+        const LinePosition at = it->first;
+        const WaitingTask task = it->second;
+        ++it;
+        const auto known = failed.find(task.service);
+        if (known != failed.end() && task.need.coresMilli >= known->second)
+            continue;
+        Job& job = m_jobs.find(task.task.job)->second;
+        const auto placed = m_placement.place(now, wish(now, job, at.step, at.index));
+        if (placed)
+            send(now, job, at.step, at.index, *placed, 0);
+        else
+            failed[task.service] = task.need.coresMilli;
     }
-    ++m_counters.admitted;
-    for (const auto& it : choices)
-        send(now, job, it.step, it.index, it.placed);
-    return true;
 }
 
-void JobTable::startReady(TimePoint now, Job& job)
+// A grant goes to the first task in the line that fits it.
+void JobTable::useGrant(TimePoint now, const AgentId& agent, const wire::Grant& grant)
 {
-    for (size_t step = 0; step < job.steps.size(); ++step) {
-        if (!isReady(job, step))
+    const AgentView* view = m_offers.find(agent);
+    const Resources room = wire::toResources(grant.room());
+    for (const auto& it : m_line.tasks()) {
+        const WaitingTask& task = it.second;
+        if (task.service != view->offer.service() || !task.need.fitsInto(room))
             continue;
-        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index)
-            if (job.steps[step].tasks[index].state == TaskState::Pending && job.steps[step].tasks[index].attempt == 0
-                && !placeAgain(now, job, step, index))
-                return;
+        Job& job = m_jobs.find(task.task.job)->second;
+        const PlacementWish asked = wish(now, job, it.first.step, it.first.index);
+        const auto run = m_placement.expectedRun(agent, *view, asked);
+        if (!run || *run > asked.longestRun || asked.avoid->contains(agent))
+            continue;
+        const LinePosition at = it.first;
+        send(now, job, at.step, at.index, Placed { agent, *run }, grant.id());
+        return;
     }
+    ++m_counters.declinedGrants;
+    outbox(agent).add_declined_grants(grant.id());
 }
 
 wire::EntryToUpstream& JobTable::outbox(const AgentId& agent) { return m_outbox[agent]; }
 
-void JobTable::send(TimePoint now, Job& job, size_t step, size_t index, const Placed& placed)
+void JobTable::send(TimePoint now, Job& job, size_t step, size_t index, const Placed& placed, uint64_t grant)
 {
     AgentView* view = m_offers.find(placed.agent);
     Task& task = job.steps[step].tasks[index];
     const StepDemand& demand = job.request.job.steps[step];
+    if (task.waiting)
+        m_line.remove(position(job, step, index));
+    task.waiting = false;
     task.state = TaskState::Sent;
     ++task.attempt;
     task.agent = placed.agent;
     task.started = false;
     task.stopping = false;
-    task.sentAt = now;
+    ++job.steps[step].sharing[placed.agent];
     ++job.outstanding;
-    m_offers.onSent(*view, demand.need);
-    const Duration run = placed.finish - placed.wait;
-    const Duration wait = std::max(m_admission.longestWait(job.request, run, now - job.received), Duration());
+    OfferBook::onSent(*view, demand.need, grant != 0);
     wire::StartTask& start = *outbox(placed.agent).add_starts();
     *start.mutable_key() = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
     start.set_specification(job.request.job.specification);
     *start.mutable_need() = wire::toWire(demand.need);
-    start.set_priority(job.request.route.priority());
     start.set_estimate_ms(demand.estimateMs);
-    start.set_start_by_us(toMicros(now + view->clockAhead + wait));
-}
-
-bool JobTable::placeAgain(TimePoint now, Job& job, size_t step, size_t index)
-{
-    Placement placement(m_options.placement, m_offers, m_hooks.random);
-    Step& state = job.steps[step];
-    const auto& route = job.request.route;
-    const auto placed
-        = placement.place(now, route.service(), route.priority(), job.request.job.steps[step], state.tasks[index].avoid, state.sharing);
-    const Duration left = job.deadline - now;
-    if (!placed || placed->finish > left) {
-        giveUp(now, job, placed ? "too_late_for_another_attempt" : "no_upstream");
-        return false;
-    }
-    send(now, job, step, index, *placed);
-    return true;
+    start.set_start_by_us(toMicros(now + view->clockAhead + m_options.startLife));
+    start.set_grant(grant);
 }
 
 void JobTable::onAgent(TimePoint now, const wire::UpstreamToEntry& message)
@@ -166,6 +221,10 @@
             view->ackedReports, message.first_report() + static_cast<uint64_t>(message.reports_size()) - (message.reports_size() > 0 ? 1 : 0));
     for (const auto& it : message.reports())
         applyReport(now, id, it);
+    for (const auto& it : message.grants())
+        useGrant(now, id, it);
+    if (!m_line.empty())
+        serveLine(now);
     // A new process of the agent ends what the old one started before it offers anything.
     if (message.offer().accepting()) {
         std::vector<AgentId> earlier;
@@ -197,15 +256,14 @@
     if (task.state != TaskState::Sent || task.agent != agent || task.attempt != report.key().attempt())
         return;
     if (report.state() == wire::ATTEMPT_STARTED) {
-        task.started = true;
-        job.mayHaveRun = true;
-        ++m_counters.started;
+        onStarted(now, job, task);
         return;
     }
+    if (report.state() != wire::ATTEMPT_NOT_STARTED)
+        onStarted(now, job, task);
     release(task);
     --job.outstanding;
     task.state = report.state() == wire::ATTEMPT_DONE ? TaskState::Done : TaskState::Pending;
-    job.mayHaveRun = job.mayHaveRun || report.state() != wire::ATTEMPT_NOT_STARTED;
     uint32_t& sharing = job.steps[step].sharing[agent];
     sharing -= task.state == TaskState::Pending && sharing > 0 ? 1 : 0;
     switch (report.state()) {
@@ -227,6 +285,23 @@
     }
 }
 
+void JobTable::onStarted(TimePoint now, Job& job, Task& task)
+{
+    if (!task.started) {
+        task.started = true;
+        task.startedAt = now;
+        task.queuedAt = std::nullopt;
+        ++m_counters.started;
+    }
+    if (job.mayHaveRun)
+        return;
+    // What still waits of it moves forward in the line.
+    unqueue(job);
+    job.mayHaveRun = true;
+    if (!job.answered && !job.refusing)
+        queueReady(now, job);
+}
+
 void JobTable::onDone(TimePoint now, Job& job, size_t step)
 {
     if (++job.steps[step].done < job.steps[step].tasks.size() || job.answered)
@@ -236,7 +311,7 @@
     if (complete)
         answer(now, job, { JobOutcome::Kind::Completed, "", 0 });
     else
-        startReady(now, job);
+        queueReady(now, job);
 }
 
 void JobTable::onFailed(TimePoint now, Job& job, size_t step, size_t index)
@@ -248,10 +323,10 @@
         return;
     if (task.failures >= std::max(job.request.route.attempts(), 1U)) {
         answer(now, job, { JobOutcome::Kind::Failed, "task_failed_" + std::to_string(task.failures) + "_times", 0 });
-        stopAttempts(now, job);
+        stopAttempts(job);
         return;
     }
-    placeAgain(now, job, step, index);
+    queue(now, job, step, index);
 }
 
 void JobTable::onNotStarted(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
@@ -262,12 +337,14 @@
         giveUp(now, job, job.refusal);
         return;
     }
-    if (reason == "waited_too_long") {
-        giveUp(now, job, reason);
+    Task& task = job.steps[step].tasks[index];
+    if (task.attempt >= m_options.mostAttempts) {
+        giveUp(now, job, "given_back_too_often: " + reason);
         return;
     }
-    job.steps[step].tasks[index].avoid.insert(job.steps[step].tasks[index].agent);
-    placeAgain(now, job, step, index);
+    if (reason != "no_room")
+        task.avoid.insert(task.agent);
+    queue(now, job, step, index);
 }
 
 void JobTable::onLost(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
@@ -275,11 +352,10 @@
     ++m_counters.lostAttempts;
     if (job.answered)
         return;
-    if (job.refusing) {
+    if (job.refusing)
         giveUp(now, job, reason);
-        return;
-    }
-    placeAgain(now, job, step, index);
+    else
+        queue(now, job, step, index);
 }
 
 // A job of which nothing can have run is refused, but only once every attempt that is still out is known not to have started;
@@ -288,24 +364,26 @@
 {
     if (job.answered)
         return;
+    unqueue(job);
     if (job.mayHaveRun) {
         answer(now, job, { JobOutcome::Kind::MayHaveRun, reason, 0 });
-        stopAttempts(now, job);
+        stopAttempts(job);
         return;
     }
     if (job.outstanding == 0) {
-        answer(now, job, { JobOutcome::Kind::NotRun, reason, 1 });
+        answer(now, job, { JobOutcome::Kind::NotRun, reason, m_admission.retryAfter() });
         return;
     }
     if (job.refusing)
         return;
     job.refusing = true;
     job.refusal = reason;
-    stopAttempts(now, job);
+    stopAttempts(job);
 }
 
 void JobTable::answer(TimePoint now, Job& job, JobOutcome outcome)
 {
+    unqueue(job);
     job.answered = true;
     m_counters.refused += outcome.kind == JobOutcome::Kind::NotRun ? 1 : 0;
     size_t done = 0;
@@ -329,6 +407,7 @@
         .with("done", done)
         .with("attempts", attempts)
         .with("outstanding", job.outstanding)
+        .with("waiting_here", m_line.size())
         .with("usable_agents", m_offers.usable(now, job.request.route.service()).size());
     if (m_hooks.onEnd)
         m_hooks.onEnd(job.request, outcome, now - job.received);
@@ -337,7 +416,7 @@
     job.callers.clear();
 }
 
-void JobTable::stopAttempts(TimePoint /*now*/, Job& job)
+void JobTable::stopAttempts(Job& job)
 {
     for (size_t step = 0; step < job.steps.size(); ++step) {
         for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
@@ -345,8 +424,47 @@
             if (task.state != TaskState::Sent || task.stopping)
                 continue;
             task.stopping = true;
-            *outbox(task.agent).add_stops()
-                = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+            stopAttempt(job, step, index);
+        }
+    }
+}
+
+void JobTable::stopAttempt(const Job& job, size_t step, size_t index)
+{
+    const Task& task = job.steps[step].tasks[index];
+    *outbox(task.agent).add_stops()
+        = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+}
+
+// Answers upstreams that turn slow or stand still: what runs there is stopped, and started elsewhere once its end is known.
+void JobTable::moveSlow(TimePoint now, Job& job)
+{
+    for (size_t step = 0; step < job.steps.size(); ++step) {
+        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            Task& task = job.steps[step].tasks[index];
+            if (task.state != TaskState::Sent || !task.started || task.stopping || task.moved)
+                continue;
+            const AgentView* view = m_offers.find(task.agent);
+            if (view == nullptr || view->offer.slowness_percent() < m_options.slowPercent)
+                continue;
+            const Duration estimate = std::chrono::milliseconds(job.request.job.steps[step].estimateMs);
+            const Duration rest = estimate * view->offer.slowness_percent() / 100 - (now - task.startedAt);
+            const auto placed = m_placement.place(now, wish(now, job, step, index));
+            if (!placed || placed->agent == task.agent || rest < placed->run + m_options.moveGain)
+                continue;
+            Event(Level::Info, "attempt_moved")
+                .with("request", job.request.id)
+                .with("task", std::to_string(step) + "/" + std::to_string(index))
+                .with("agent", toString(task.agent))
+                .with("slowness_percent", view->offer.slowness_percent())
+                .with("offer_age_ms", toMs(now - view->heard))
+                .with("ran_ms", toMs(now - task.startedAt))
+                .with("rest_ms", toMs(rest))
+                .with("elsewhere_ms", toMs(placed->run));
+            ++m_counters.movedAttempts;
+            task.moved = true;
+            task.stopping = true;
+            stopAttempt(job, step, index);
         }
     }
 }
@@ -357,7 +475,7 @@
     if (it == m_jobs.end() || it->second.answered)
         return false;
     answer(now, it->second, { JobOutcome::Kind::Abandoned, "cancelled", 0 });
-    stopAttempts(now, it->second);
+    stopAttempts(it->second);
     return true;
 }
 
@@ -374,7 +492,7 @@
         respond({ JobOutcome::Kind::Abandoned, "caller_gone", 0 });
         if (job.callers.empty()) {
             answer(now, job, { JobOutcome::Kind::Abandoned, "caller_gone", 0 });
-            stopAttempts(now, job);
+            stopAttempts(job);
         }
         return;
     }
@@ -424,11 +542,20 @@
             lost.push_back(it.first);
     for (const auto& it : lost)
         loseAgent(now, it, "agent_silent");
-    for (auto& it : m_jobs)
-        if (!it.second.answered && now >= it.second.deadline) {
-            it.second.mayHaveRun = it.second.mayHaveRun || it.second.outstanding > 0;
-            giveUp(now, it.second, "deadline");
+    for (auto& it : m_jobs) {
+        Job& job = it.second;
+        if (job.answered)
+            continue;
+        if (now >= job.deadline) {
+            unqueue(job);
+            job.mayHaveRun = job.mayHaveRun || job.outstanding > 0;
+            giveUp(now, job, "deadline");
+        } else if (!job.mayHaveRun && !job.refusing && now - job.received > m_admission.longestWait(job.request)) {
+            giveUp(now, job, "waited_too_long");
+        } else {
+            moveSlow(now, job);
         }
+    }
     sweep();
     m_offers.expire(now);
 }
@@ -440,17 +567,27 @@
 
 void JobTable::flush(TimePoint now)
 {
+    std::map<std::string, wire::Demand> demands;
     for (auto& it : m_offers.agents()) {
         AgentView& view = it.second;
+        const auto [demand, added] = demands.try_emplace(view.offer.service());
+        if (added)
+            demand->second = m_line.demand(now, view.offer.service());
+        const bool waits = demand->second.tasks() > 0;
+        const bool demandDue = (waits && now - view.demandSent >= m_options.demandInterval) || (!waits && view.demandTold);
         const auto found = m_outbox.find(it.first);
         const bool spaced = view.replyDue && now - view.sent >= m_options.replySpacing;
-        if (found == m_outbox.end() && !spaced)
+        if (found == m_outbox.end() && !spaced && !demandDue)
             continue;
         wire::EntryToUpstream message = found == m_outbox.end() ? wire::EntryToUpstream() : std::move(found->second);
         if (message.starts_size() > 0)
             message.set_sequence(++view.lastSequence);
         message.set_seen_clock_us(view.seenClockUs);
         message.set_acked_reports(view.ackedReports);
+        if (waits)
+            *message.mutable_demand() = demand->second;
+        view.demandSent = now;
+        view.demandTold = waits;
         view.sent = now;
         view.replyDue = false;
         m_hooks.send(it.first, std::move(message));
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "fescuegw/direct/Job.h"
 #include "fescuegw/direct/OfferBook.h"
 #include "fescuegw/direct/Placement.h"
+#include "fescuegw/direct/WaitingLine.h"
 
 namespace fescuegw::direct {
 
@@ -27,6 +29,16 @@
     Duration certainEnd { std::chrono::milliseconds(1250) };
     // An agent is told that this entry lives at most this often, and at least as often as its messages come.
     Duration replySpacing { std::chrono::milliseconds(80) };
+    // Agents are told this often what waits here, while anything does.
+    Duration demandInterval { std::chrono::milliseconds(50) };
+    // A start that reaches its agent later than this is refused there: room and lines have changed since.
+    Duration startLife { std::chrono::milliseconds(250) };
+    // A run on an upstream that takes this many percent of the estimates is moved when another would end it sooner by
+    // `moveGain`, the time that stopping and starting take included.
+    uint32_t slowPercent = 200;
+    Duration moveGain { std::chrono::milliseconds(120) };
+    // Attempts at one task, however they end: bounds the messages about a task that every upstream gives back.
+    uint32_t mostAttempts = 40;
     // Callers' requests that wait, at most: bounds memory when everything stands still.
     size_t mostJobs = 20000;
 };
@@ -48,6 +60,8 @@
     uint64_t failedAttempts = 0;
     uint64_t lostAttempts = 0;
     uint64_t strayReports = 0;
+    uint64_t movedAttempts = 0;
+    uint64_t declinedGrants = 0;
 };
 
 // Starts each task at most once at a time: a further attempt follows only when the one before is certain not to run. The entry
@@ -73,12 +87,14 @@
 
     size_t size() const { return m_jobs.size(); }
     const OfferBook& offers() const { return m_offers; }
+    size_t waiting() const { return m_line.size(); }
     const JobCounters& counters() const { return m_counters; }
 
 private:
     enum class TaskState : uint8_t {
+        // Waits for its step's turn, or in the line.
         Pending,
-        // At an agent: waits there, or runs.
+        // At an agent.
         Sent,
         Done,
     };
@@ -88,9 +104,13 @@
         uint32_t attempt = 0;
         uint32_t failures = 0;
         AgentId agent;
+        bool waiting = false;
         bool started = false;
         bool stopping = false;
-        TimePoint sentAt;
+        bool moved = false;
+        TimePoint startedAt;
+        // Since when it waits for room, across attempts that were given back.
+        std::optional<TimePoint> queuedAt;
         std::set<AgentId> avoid;
     };
 
@@ -109,6 +129,7 @@
         JobRequest request;
         std::vector<Caller> callers;
         std::vector<Step> steps;
+        uint64_t number = 0;
         TimePoint received;
         TimePoint deadline;
         // A task has run or may have.
@@ -123,19 +144,27 @@
 
     using Jobs = std::map<std::string, Job>;
 
-    bool admit(TimePoint now, Job&);
+    std::string refusal(TimePoint now, const Job&) const;
     bool isReady(const Job&, size_t step) const;
-    void startReady(TimePoint now, Job&);
-    void send(TimePoint now, Job&, size_t step, size_t index, const Placed&);
-    bool placeAgain(TimePoint now, Job&, size_t step, size_t index);
+    void queueReady(TimePoint now, Job&);
+    void queue(TimePoint now, Job&, size_t step, size_t index);
+    void unqueue(Job&);
+    LinePosition position(const Job&, size_t step, size_t index) const;
+    PlacementWish wish(TimePoint now, const Job&, size_t step, size_t index) const;
+    void serveLine(TimePoint now);
+    void useGrant(TimePoint now, const AgentId&, const wire::Grant&);
+    void send(TimePoint now, Job&, size_t step, size_t index, const Placed&, uint64_t grant);
+    void moveSlow(TimePoint now, Job&);
     void applyReport(TimePoint now, const AgentId&, const wire::AttemptReport&);
     void onNotStarted(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
     void onFailed(TimePoint now, Job&, size_t step, size_t index);
     void onLost(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
     void onDone(TimePoint now, Job&, size_t step);
     void giveUp(TimePoint now, Job&, const std::string& reason);
+    void onStarted(TimePoint now, Job&, Task&);
     void answer(TimePoint now, Job&, JobOutcome);
-    void stopAttempts(TimePoint now, Job&);
+    void stopAttempts(Job&);
+    void stopAttempt(const Job&, size_t step, size_t index);
     void release(Task&);
     void loseAgent(TimePoint now, const AgentId&, const std::string& reason);
     wire::EntryToUpstream& outbox(const AgentId&);
@@ -145,7 +174,10 @@
     JobTableHooks m_hooks;
     Admission m_admission;
     OfferBook m_offers;
+    Placement m_placement;
+    WaitingLine m_line;
     Jobs m_jobs;
+    uint64_t m_lastNumber = 0;
     std::map<AgentId, wire::EntryToUpstream> m_outbox;
     JobCounters m_counters;
 };
--- a/fescuegw/direct/OfferBook.cpp
+++ b/fescuegw/direct/OfferBook.cpp
@@ -33,11 +33,13 @@
     return &view;
 }
 
-void OfferBook::onSent(AgentView& view, const Resources& need) const
+void OfferBook::onSent(AgentView& view, const Resources& need, bool granted)
 {
+    ++view.attempts;
+    if (granted)
+        return;
     view.unseen.emplace_back(view.lastSequence + 1, need);
     view.free -= need;
-    ++view.attempts;
 }
 
 std::vector<std::pair<const AgentId*, const AgentView*>> OfferBook::usable(TimePoint now, const std::string& service) const
--- a/fescuegw/direct/OfferBook.h
+++ b/fescuegw/direct/OfferBook.h
@@ -34,6 +34,9 @@
     uint32_t attempts = 0;
     uint64_t ackedReports = 0;
     bool replyDue = false;
+    // When the agent was last told what waits here, and whether that was anything.
+    TimePoint demandSent;
+    bool demandTold = false;
 };
 
 struct OfferBookOptions {
@@ -51,8 +54,8 @@
     // Takes over an agent's message. Returns its view, or null when the message is of an earlier process of that agent.
     AgentView* onMessage(TimePoint now, const wire::UpstreamToEntry&);
 
-    // Notes that a start of `need` was put into the next message to the agent.
-    void onSent(AgentView&, const Resources& need) const;
+    // Notes that a start of `need` was put into the next message to the agent; what uses a grant takes no further room.
+    static void onSent(AgentView&, const Resources& need, bool granted);
 
     // Returns the agents of `service` that can be relied on now.
     std::vector<std::pair<const AgentId*, const AgentView*>> usable(TimePoint now, const std::string& service) const;
--- a/fescuegw/direct/Placement.cpp
+++ b/fescuegw/direct/Placement.cpp
@@ -12,15 +12,20 @@
 
     // Offers are some moments old, and other entries place by them too: of an upstream with little room left, some is gone by
     // the time that a task comes. Indexed by how many further tasks of the size would fit.
-    constexpr std::array crowding { std::chrono::milliseconds(32), std::chrono::milliseconds(24), std::chrono::milliseconds(16),
-        std::chrono::milliseconds(8) };
+    constexpr std::array<Duration, 4> crowding { std::chrono::milliseconds(32), std::chrono::milliseconds(24),
+        std::chrono::milliseconds(16), std::chrono::milliseconds(8) };
 
     bool hasLabel(const wire::UpstreamOffer& offer, const std::string& label)
     {
         return std::find(offer.labels().begin(), offer.labels().end(), label) != offer.labels().end();
     }
 
-    Duration fromMs(uint64_t ms) { return std::chrono::milliseconds(ms); }
+    Duration crowdingOf(const Resources& free, const Resources& need)
+    {
+        const int64_t further = free.coresMilli / std::max<int64_t>(need.coresMilli, 1) - 1;
+        const auto n = static_cast<size_t>(std::max<int64_t>(further, 0));
+        return n < crowding.size() ? crowding.at(n) : Duration();
+    }
 
 } // namespace
 
@@ -31,43 +36,24 @@
 {
 }
 
-const Placement::Agents& Placement::agentsOf(TimePoint now, const std::string& service)
-{
-    const auto it = m_agents.find(service);
-    return it != m_agents.end() ? it->second : m_agents.emplace(service, m_book.usable(now, service)).first->second;
-}
-
-Placed Placement::estimate(const AgentId& id, const AgentView& view, uint32_t priority, const StepDemand& step) const
+std::optional<Duration> Placement::expectedRun(const AgentId& id, const AgentView& view, const PlacementWish& wish) const
 {
+    const StepDemand& step = *wish.step;
+    if (!step.need.fitsInto(view.capacity) || (!step.requiredLabel.empty() && !hasLabel(view.offer, step.requiredLabel)))
+        return std::nullopt;
+    const auto shared = wish.sharing->find(id);
+    if (step.spread > 0 && shared != wish.sharing->end() && shared->second >= step.spread)
+        return std::nullopt;
     const bool remote = !step.dataLabel.empty() && !hasLabel(view.offer, step.dataLabel);
-    const uint64_t percent = remote ? m_options.remotePercent : 100;
-    const Duration run = fromMs(step.estimateMs) * view.offer.slowness_percent() / 100 * percent / 100;
-    Resources free = view.free;
-    const auto tentative = m_tentative.find(id);
-    if (tentative != m_tentative.end())
-        free -= tentative->second.taken;
-    Placed placed { id, {}, {}, {} };
-    if (!step.need.fitsInto(free)) {
-        const int n = view.offer.start_in_ms_size();
-        if (n > 0)
-            placed.wait = fromMs(view.offer.start_in_ms(std::min(static_cast<int>(priority), n - 1)));
-        // What was sent since the offer, or is about to be, is not in its delays: it takes its share of the whole upstream.
-        int64_t ahead = tentative == m_tentative.end() ? 0 : tentative->second.taken.coresMilli;
-        for (const auto& it : view.unseen)
-            ahead += it.second.coresMilli;
-        placed.wait += run * ahead / std::max<int64_t>(view.capacity.coresMilli, 1);
-    }
-    placed.finish = placed.wait + run;
-    const int64_t further = free.coresMilli / std::max<int64_t>(step.need.coresMilli, 1) - 1;
-    placed.cost = placed.finish + (further < static_cast<int64_t>(crowding.size()) ? Duration(crowding.at(static_cast<size_t>(std::max<int64_t>(further, 0)))) : Duration());
-    return placed;
+    const Duration run = std::chrono::milliseconds(step.estimateMs) * view.offer.slowness_percent() / 100;
+    return remote ? run * m_options.remotePercent / 100 : run;
 }
 
-std::optional<Placed> Placement::place(TimePoint now, const std::string& service, uint32_t priority, const StepDemand& step,
-    const std::set<AgentId>& avoid, std::map<AgentId, uint32_t>& sharing)
+std::optional<Placed> Placement::place(TimePoint now, const PlacementWish& wish) const
 {
-    const Agents& agents = agentsOf(now, service);
+    const auto agents = m_book.usable(now, wish.service);
     std::optional<Placed> best;
+    Duration bestCost {};
     int64_t bestRoom = 0;
     bool bestAvoided = true;
     const size_t looks = agents.size() <= 2 * m_options.drawn ? agents.size() : m_options.drawn;
@@ -75,26 +61,22 @@
     // Beyond the drawn ones only when none of those will do.
     for (size_t n = 0; n < agents.size() && (n < looks || !best); ++n) {
         const auto& [id, view] = agents[(offset + n) % agents.size()];
-        if (!step.need.fitsInto(view->capacity) || (!step.requiredLabel.empty() && !hasLabel(view->offer, step.requiredLabel)))
+        if (!wish.step->need.fitsInto(view->free))
             continue;
-        if (step.spread > 0 && sharing[*id] >= step.spread)
+        const auto run = expectedRun(*id, *view, wish);
+        if (!run || *run > wish.longestRun)
             continue;
-        const Placed candidate = estimate(*id, *view, priority, step);
-        const auto tentative = m_tentative.find(*id);
-        const int64_t room = view->free.coresMilli - (tentative == m_tentative.end() ? 0 : tentative->second.taken.coresMilli);
-        const bool avoided = avoid.contains(*id);
-        const bool sooner = best && candidate.cost / resolution < best->cost / resolution;
-        const bool alike = best && candidate.cost / resolution == best->cost / resolution;
-        if (!best || (bestAvoided && !avoided) || (avoided == bestAvoided && (sooner || (alike && room > bestRoom)))) {
-            best = candidate;
-            bestRoom = room;
+        const bool avoided = wish.avoid->contains(*id);
+        const Duration cost = *run + crowdingOf(view->free, wish.step->need);
+        const bool sooner = cost / resolution < bestCost / resolution;
+        const bool alike = cost / resolution == bestCost / resolution && view->free.coresMilli > bestRoom;
+        if (!best || (bestAvoided && !avoided) || (avoided == bestAvoided && (sooner || alike))) {
+            best = Placed { *id, *run };
+            bestCost = cost;
+            bestRoom = view->free.coresMilli;
             bestAvoided = avoided;
         }
     }
-    if (best) {
-        m_tentative[best->agent].taken += step.need;
-        ++sharing[best->agent];
-    }
     return best;
 }
 
