--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -13,8 +13,11 @@
 namespace {
 
     constexpr std::string_view replicaPrefix = "replica-";
-    // The list of entries changes rarely, and a new entry does no harm unknown.
+    // The list of entries changes rarely, and a new entry does no harm unknown. An agent that hears none is of no use.
     constexpr Duration viewInterval = std::chrono::milliseconds(800);
+    constexpr Duration lonelyViewInterval = std::chrono::milliseconds(150);
+    // After the last new link, further entries are expected for this long.
+    constexpr Duration gathering = std::chrono::milliseconds(3000);
     // Reports without acknowledgement are sent again after this.
     constexpr Duration reportRepeat = std::chrono::milliseconds(250);
     // An entry that is no longer listed may be cut off from the state group alone: its link stays while it speaks.
@@ -171,6 +174,7 @@
             continue;
         link->second.address = it.address();
         link->second.heard = now;
+        m_lastLinked = now;
         m_hub->connect(name, it.address());
         Event(Level::Info, "entry_linked").with("entry", it.entry()).with("address", it.address());
     }
@@ -309,6 +313,8 @@
 void ArbiterServer::onBatchEnd(TimePoint now)
 {
     m_table.tick(now);
+    const bool gathers = m_links.empty() || now - m_lastLinked < gathering;
+    m_state->setHeartbeatInterval(gathers ? lonelyViewInterval : viewInterval);
     m_state->flush(now, wire::EntryInfo());
     expireLinks(now);
     sendOffers(now);
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -87,6 +87,7 @@
     std::unique_ptr<UpstreamLink> m_upstream;
     // Links to entries, by name.
     std::map<std::string, EntryLink> m_links;
+    TimePoint m_lastLinked;
     bool m_draining = false;
     TimePoint m_drainUntil;
     std::atomic<bool> m_ready { false };
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -550,7 +550,8 @@
             unqueue(job);
             job.mayHaveRun = job.mayHaveRun || job.outstanding > 0;
             giveUp(now, job, "deadline");
-        } else if (!job.mayHaveRun && !job.refusing && now - job.received > m_admission.longestWait(job.request)) {
+        } else if (!job.mayHaveRun && job.outstanding == 0 && now - job.received > m_admission.longestWait(job.request)) {
+            // While a start is under way, its agent's answer comes first: it says whether the job has run.
             giveUp(now, job, "waited_too_long");
         } else {
             moveSlow(now, job);
--- a/fescuegw/group/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -31,7 +31,7 @@
 struct StateClientOptions {
     Duration heartbeatInterval { std::chrono::milliseconds(200) };
     // After this a request is sent again, to another replica.
-    Duration requestTimeout { std::chrono::milliseconds(700) };
+    Duration requestTimeout { std::chrono::milliseconds(500) };
     Duration retryPause { std::chrono::milliseconds(50) };
     // Without an answer of a leader for this long, the group counts as unreachable.
     Duration unreachableAfter { std::chrono::milliseconds(2000) };
@@ -62,6 +62,9 @@
     // Sends what has gathered and what is due again, and the heartbeat. An unnamed `EntryInfo` only follows the view.
     void flush(TimePoint now, const wire::EntryInfo&);
 
+    // Sets the time between two heartbeats from now on.
+    void setHeartbeatInterval(Duration interval) { m_options.heartbeatInterval = interval; }
+
     // Returns when a leader last answered, or nothing.
     const TimePoint* lastContact() const { return m_contacted ? &m_lastContact : nullptr; }
     uint64_t routingVersion() const { return m_routingVersion; }
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -482,8 +482,10 @@
         *reply.mutable_routing() = m_registry.routing();
         reply.mutable_routing()->clear_document();
     }
-    // A new leader has not heard all entries yet. A list that lacks some would make the others drop their links.
-    const bool settled = m_ledTerm == m_replica->term() && m_policy.settled(now);
+    // A new leader has not heard all entries yet. A list that lacks some would make the others drop their links; agents, which
+    // drop none for that, are told at once of those that are known.
+    const bool observer = heartbeat.entry().entry().empty();
+    const bool settled = m_ledTerm == m_replica->term() && (observer || m_policy.settled(now));
     const uint64_t entriesRevision = settled ? m_policy.entriesRevision(now) : heartbeat.known_entries_revision();
     if (heartbeat.known_revision() == m_registry.revision() && heartbeat.known_entries_revision() == entriesRevision)
         return reply;
