Fewer messages between entries and agents; a stopping entry accepts callers to its end

Changed: entries say how often agents report when there is nothing to tell (400 offers a second in all), starts are reported with the next message, links are read only when readable, jobs are looked at every 10 ms; the stopping entry refuses or serves until it ends.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -19,7 +19,7 @@
     // After the last new link, further entries are expected for this long.
     constexpr Duration gathering = std::chrono::milliseconds(3000);
     // Reports without acknowledgement are sent again after this.
-    constexpr Duration reportRepeat = std::chrono::milliseconds(250);
+    constexpr Duration reportRepeat = std::chrono::milliseconds(500);
     // An entry that is no longer listed may be cut off from the state group alone: its link stays while it speaks.
     constexpr Duration unlistedMemory = std::chrono::seconds(10);
     // A silent link is opened anew well within the entries' lease.
@@ -228,6 +228,8 @@
         link.reports.erase(link.reports.begin());
         ++link.firstReport;
     }
+    if (message.offer_interval_ms() > 0)
+        link.offerInterval = std::chrono::milliseconds(message.offer_interval_ms());
     m_table.onEntry(now, message);
 }
 
@@ -254,7 +256,8 @@
         if (it.second.entry != entry)
             continue;
         it.second.reports.push_back(report);
-        it.second.urgent = true;
+        // That a task has started may wait for the next message: half of all messages would tell nothing else.
+        it.second.urgent = it.second.urgent || report.state() != wire::ATTEMPT_STARTED;
     }
 }
 
@@ -292,7 +295,7 @@
             *message.add_grants() = grant;
         link.grants.clear();
         link.urgent = false;
-        link.offerDue = now + m_settings.offerInterval;
+        link.offerDue = now + (link.offerInterval > Duration() ? link.offerInterval : m_settings.offerInterval);
         link.resendDue = now + reportRepeat;
         m_hub->send({ net::Peer::Direction::Connected, it.first }, message.SerializeAsString());
     }
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -60,6 +60,8 @@
         bool listed = true;
         TimePoint heard;
         TimePoint offerDue;
+        // As the entry wants it; the settings' one until it has said so.
+        Duration offerInterval {};
         TimePoint resendDue;
         uint64_t seenSequence = 0;
         uint64_t firstReport = 1;
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -16,7 +16,7 @@
     // A silent link is opened anew well within an agent's lease for this entry.
     constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
 
-    // What is given up at the end of a drain is answered, and the answers need time to leave.
+    // Answers need time to leave after the last job has ended.
     constexpr Duration lastAnswers = std::chrono::milliseconds(250);
 
     Answer answerOf(Answer::Kind kind, const std::string& reason = "")
@@ -171,14 +171,13 @@
     return 0;
 }
 
-void DirectServer::stop(std::function<void()> onQuiet)
+void DirectServer::stop()
 {
-    m_hub->post([this, onQuiet = std::move(onQuiet)](TimePoint now) {
+    m_hub->post([this](TimePoint now) {
         if (m_draining)
             return;
         m_draining = true;
         m_ready = false;
-        m_onQuiet = onQuiet;
         m_quietAt = now + m_settings.balancerGrace;
         m_drainUntil = now + m_settings.drainLimit;
         m_jobs.drain(m_drainUntil);
@@ -309,11 +308,9 @@
 {
     if (!m_draining)
         return false;
-    if (m_onQuiet && now >= m_quietAt) {
-        m_onQuiet();
-        m_onQuiet = nullptr;
-    }
-    return now >= m_drainUntil + lastAnswers || (now >= m_quietAt && m_jobs.unanswered() == 0);
+    if (m_jobs.unanswered() > 0)
+        m_lastUnanswered = now;
+    return now >= std::min(m_drainUntil, std::max(m_quietAt, m_lastUnanswered)) + lastAnswers;
 }
 
 void DirectServer::onBatchEnd(TimePoint now)
--- a/fescuegw/direct/DirectServer.h
+++ b/fescuegw/direct/DirectServer.h
@@ -74,8 +74,9 @@
 
     Result<void> start();
     int run();
-    // Starts the graceful stop: not ready, callers in flight answered. `onQuiet` is called when the balancer has had its time.
-    void stop(std::function<void()> onQuiet);
+    // Starts the graceful stop: not ready, callers in flight answered. Callers that come all the same, as they do while no
+    // other entry of their failure domain is ready, are served or refused until the end.
+    void stop();
 
     void submit(Submission, AnswerHook);
     // Asks for the queue (`path` ends with its prefix) or a job's state.
@@ -112,9 +113,9 @@
     std::shared_ptr<Counters> m_counters;
     std::atomic<bool> m_ready { false };
     bool m_draining = false;
-    std::function<void()> m_onQuiet;
     TimePoint m_quietAt;
     TimePoint m_drainUntil;
+    TimePoint m_lastUnanswered;
 };
 
 } // namespace fescuegw::direct
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -258,11 +258,11 @@
     if (task.state != TaskState::Sent || task.agent != agent || task.attempt != report.key().attempt())
         return;
     if (report.state() == wire::ATTEMPT_STARTED) {
-        onStarted(now, job, task);
+        onStarted(now - std::chrono::milliseconds(report.run_ms()), job, task);
         return;
     }
     if (report.state() != wire::ATTEMPT_NOT_STARTED)
-        onStarted(now, job, task);
+        onStarted(now - std::chrono::milliseconds(report.run_ms()), job, task);
     release(task);
     --job.outstanding;
     task.state = report.state() == wire::ATTEMPT_DONE ? TaskState::Done : TaskState::Pending;
@@ -287,11 +287,11 @@
     }
 }
 
-void JobTable::onStarted(TimePoint now, Job& job, Task& task)
+void JobTable::onStarted(TimePoint since, Job& job, Task& task)
 {
     if (!task.started) {
         task.started = true;
-        task.startedAt = now;
+        task.startedAt = since;
         task.queuedAt = std::nullopt;
         ++m_counters.started;
     }
@@ -301,7 +301,7 @@
     unqueue(job);
     job.mayHaveRun = true;
     if (!job.answered && !job.refusing)
-        queueReady(now, job);
+        queueReady(since, job);
 }
 
 void JobTable::onDone(TimePoint now, Job& job, size_t step)
@@ -538,6 +538,9 @@
 
 void JobTable::tick(TimePoint now)
 {
+    if (now < m_tickDue)
+        return;
+    m_tickDue = now + m_options.tickInterval;
     std::vector<AgentId> lost;
     for (const auto& it : m_offers.agents())
         if (it.second.attempts > 0 && now - it.second.heard > m_options.certainEnd)
@@ -574,8 +577,15 @@
     std::erase_if(m_jobs, [](const auto& it) { return it.second.answered && it.second.outstanding == 0; });
 }
 
+Duration JobTable::offerInterval() const
+{
+    const Duration even = std::chrono::seconds(m_offers.agents().size()) / m_options.offersPerSecond;
+    return std::clamp(even, m_options.shortestOfferInterval, m_options.longestOfferInterval);
+}
+
 void JobTable::flush(TimePoint now)
 {
+    const auto interval = static_cast<uint32_t>(toMs(offerInterval()));
     std::map<std::string, wire::Demand> demands;
     for (auto& it : m_offers.agents()) {
         AgentView& view = it.second;
@@ -585,7 +595,7 @@
         const bool waits = demand->second.tasks() > 0;
         const bool demandDue = (waits && now - view.demandSent >= m_options.demandInterval) || (!waits && view.demandTold);
         const auto found = m_outbox.find(it.first);
-        const bool spaced = view.replyDue && now - view.sent >= m_options.replySpacing;
+        const bool spaced = (view.replyDue || view.toldInterval != interval) && now - view.sent >= m_options.replySpacing;
         if (found == m_outbox.end() && !spaced && !demandDue)
             continue;
         wire::EntryToUpstream message = found == m_outbox.end() ? wire::EntryToUpstream() : std::move(found->second);
@@ -593,6 +603,8 @@
             message.set_sequence(++view.lastSequence);
         message.set_seen_clock_us(view.seenClockUs);
         message.set_acked_reports(view.ackedReports);
+        message.set_offer_interval_ms(interval);
+        view.toldInterval = interval;
         if (waits)
             *message.mutable_demand() = demand->second;
         view.demandSent = now;
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -27,8 +27,16 @@
     // This long after an agent was last heard, nothing runs that it started for this entry: the agent's lease for the entry,
     // which counts from a clock that it sent, the upstream's own lease, and the time that stopping takes.
     Duration certainEnd { std::chrono::milliseconds(1250) };
-    // An agent is told that this entry lives at most this often, and at least as often as its messages come.
-    Duration replySpacing { std::chrono::milliseconds(80) };
+    // An agent is told that this entry lives at most this often: with the age of the clock that it echoes, under half of the
+    // agent's lease.
+    Duration replySpacing { std::chrono::milliseconds(180) };
+    // Offers of all agents that an entry takes a second, and the shortest time between two of one agent. With some 20 us each,
+    // offers then cost 1% of a core at any number of agents; what they tell is older with many.
+    uint32_t offersPerSecond = 400;
+    Duration shortestOfferInterval { std::chrono::milliseconds(40) };
+    Duration longestOfferInterval { std::chrono::milliseconds(250) };
+    // Time between two looks at jobs for what time alone changes.
+    Duration tickInterval { std::chrono::milliseconds(10) };
     // Agents are told this often what waits here, while anything does.
     Duration demandInterval { std::chrono::milliseconds(50) };
     // A start that reaches its agent later than this is refused there: room and lines have changed since.
@@ -165,12 +173,13 @@
     void onLost(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
     void onDone(TimePoint now, Job&, size_t step);
     void giveUp(TimePoint now, Job&, const std::string& reason);
-    void onStarted(TimePoint now, Job&, Task&);
+    void onStarted(TimePoint since, Job&, Task&);
     void answer(TimePoint now, Job&, JobOutcome);
     void stopAttempts(Job&);
     void stopAttempt(const Job&, size_t step, size_t index);
     void release(Task&);
     void loseAgent(TimePoint now, const AgentId&, const std::string& reason);
+    Duration offerInterval() const;
     wire::EntryToUpstream& outbox(const AgentId&);
     void sweep();
 
@@ -183,6 +192,7 @@
     Jobs m_jobs;
     uint64_t m_lastNumber = 0;
     std::optional<TimePoint> m_drainUntil;
+    TimePoint m_tickDue;
     std::map<AgentId, wire::EntryToUpstream> m_outbox;
     JobCounters m_counters;
 };
--- a/fescuegw/direct/OfferBook.h
+++ b/fescuegw/direct/OfferBook.h
@@ -37,6 +37,8 @@
     // When the agent was last told what waits here, and whether that was anything.
     TimePoint demandSent;
     bool demandTold = false;
+    // How often the agent was told to report, in milliseconds.
+    uint32_t toldInterval = 0;
 };
 
 struct OfferBookOptions {
--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -239,18 +239,26 @@
 {
     while (!m_stopped) {
         std::vector<zmq::pollitem_t> items;
+        std::vector<std::string> names;
         items.push_back({ nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0 });
+        for (const auto& it : m_sockets->dealers) {
+            items.push_back({ it.second->handle(), 0, ZMQ_POLLIN, 0 });
+            names.push_back(it.first);
+        }
         if (m_sockets->router)
             items.push_back({ m_sockets->router->handle(), 0, ZMQ_POLLIN, 0 });
-        for (const auto& it : m_sockets->dealers)
-            items.push_back({ it.second->handle(), 0, ZMQ_POLLIN, 0 });
         zmq::poll(items, std::chrono::duration_cast<std::chrono::milliseconds>(m_options.tickInterval));
         if (m_wakeRequested) {
             uint64_t n = 0;
             (void)!read(m_wakeDescriptor, &n, sizeof n);
             m_wakeRequested = false;
         }
-        receiveAll(monotonicNow());
+        const TimePoint now = monotonicNow();
+        if (m_sockets->router && (items.back().revents & ZMQ_POLLIN) != 0)
+            receiveAccepted(now);
+        for (size_t i = 0; i < names.size(); ++i)
+            if ((items[i + 1].revents & ZMQ_POLLIN) != 0)
+                receiveFrom(now, names[i]);
         runTasks(monotonicNow());
         m_hooks.onBatchEnd(monotonicNow());
         flush(monotonicNow());
@@ -264,28 +272,26 @@
     wake();
 }
 
-void Hub::receiveAll(TimePoint now)
+void Hub::receiveAccepted(TimePoint now)
 {
     zmq::message_t message;
-    if (m_sockets->router) {
-        for (int n = 0; n < receiveBurst && m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
-            const Peer peer { Peer::Direction::Accepted, message.to_string() };
-            if (!message.more() || !m_sockets->router->recv(message))
-                continue;
-            m_hooks.onMessage(now, peer, message.to_string());
-        }
+    for (int n = 0; n < receiveBurst && m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
+        const Peer peer { Peer::Direction::Accepted, message.to_string() };
+        if (!message.more() || !m_sockets->router->recv(message))
+            continue;
+        m_hooks.onMessage(now, peer, message.to_string());
     }
-    std::vector<std::string> names;
-    for (const auto& it : m_sockets->dealers)
-        names.push_back(it.first);
-    for (const auto& name : names) {
-        for (int n = 0; n < receiveBurst; ++n) {
-            // A hook may have disconnected the peer.
-            const auto found = m_sockets->dealers.find(name);
-            if (found == m_sockets->dealers.end() || !found->second->recv(message, zmq::recv_flags::dontwait))
-                break;
-            m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
-        }
+}
+
+void Hub::receiveFrom(TimePoint now, const std::string& name)
+{
+    zmq::message_t message;
+    for (int n = 0; n < receiveBurst; ++n) {
+        // A hook may have disconnected the peer.
+        const auto found = m_sockets->dealers.find(name);
+        if (found == m_sockets->dealers.end() || !found->second->recv(message, zmq::recv_flags::dontwait))
+            break;
+        m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
     }
 }
 
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -99,7 +99,8 @@
     };
 
     void wake();
-    void receiveAll(TimePoint now);
+    void receiveAccepted(TimePoint now);
+    void receiveFrom(TimePoint now, const std::string& name);
     void runTasks(TimePoint now);
     bool transmit(const Outgoing&);
 
