--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -144,9 +144,8 @@
 
 void ArbiterServer::announce(Announcement announcement, std::function<void(bool)> accepted)
 {
-    m_hub->post([this, announcement = std::move(announcement), accepted = std::move(accepted)](TimePoint now) {
-        accepted(m_table.onAnnouncement(now, announcement));
-    });
+    m_hub->post([this, announcement = std::move(announcement), accepted = std::move(accepted)](
+                    TimePoint now) { accepted(m_table.onAnnouncement(now, announcement)); });
 }
 
 void ArbiterServer::depart(std::string instance)
@@ -157,6 +156,7 @@
 void ArbiterServer::updateSeeds(const std::vector<settings::Address>& seeds)
 {
     std::vector<std::string> replicas;
+    replicas.reserve(seeds.size());
     for (const auto& it : seeds)
         replicas.push_back(it.text());
     m_hub->post([this, replicas](TimePoint /*now*/) { m_state->addReplicas(replicas); });
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -126,7 +126,8 @@
     run.received = now;
     run.startBy = fromMicros(request.start_by_us());
     const bool twice = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& it) {
-        return it.second.entry == entry && it.second.task == run.task && it.second.request.key().attempt() == request.key().attempt();
+        return it.second.entry == entry && it.second.task == run.task
+            && it.second.request.key().attempt() == request.key().attempt();
     });
     if (twice)
         return;
@@ -158,8 +159,8 @@
 void RunTable::onStop(TimePoint now, const std::string& entry, const wire::AttemptKey& key)
 {
     const StepTask task = wire::toStepTask(key);
-    for (auto it = m_runs.begin(); it != m_runs.end(); ++it) {
-        Run& run = it->second;
+    for (auto& it : m_runs) {
+        Run& run = it.second;
         if (run.entry != entry || run.task != task || run.request.key().attempt() != key.attempt())
             continue;
         if (run.state != State::Stopping)
@@ -262,9 +263,8 @@
 
 RunTable::Runs::iterator RunTable::find(const StepTask& task, uint64_t number)
 {
-    return std::find_if(m_runs.begin(), m_runs.end(), [&](const auto& it) {
-        return it.second.run == number && it.second.task == task;
-    });
+    return std::find_if(
+        m_runs.begin(), m_runs.end(), [&](const auto& it) { return it.second.run == number && it.second.task == task; });
 }
 
 void RunTable::applyEnd(TimePoint now, const EndedRow& row)
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -43,7 +43,10 @@
         table.nextHold(now);
     }
 
-    uint64_t clock() const { return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()); }
+    uint64_t clock() const
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count());
+    }
 
     // A message of `entry` with the newest clock of the agent.
     wire::EntryToUpstream message(const std::string& entry) const
--- a/fescuegw/base/Types.cpp
+++ b/fescuegw/base/Types.cpp
@@ -25,7 +25,8 @@
 {
     timespec time {};
     clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    return TimePoint(
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 uint64_t wallClockMs()
--- a/fescuegw/base/Types.h
+++ b/fescuegw/base/Types.h
@@ -15,7 +15,8 @@
 using Duration = std::chrono::microseconds;
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-// Returns the present monotonic time, which counts time spent suspended. Only daemons' loops call this; deciding functions take the time as an argument.
+// Returns the present monotonic time, which counts time spent suspended. Only daemons' loops call this; deciding functions take
+// the time as an argument.
 TimePoint monotonicNow();
 
 // Returns the wall clock in milliseconds since 1970.
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -188,6 +188,7 @@
 void DirectServer::updateSeeds(const std::vector<settings::Address>& seeds)
 {
     std::vector<std::string> replicas;
+    replicas.reserve(seeds.size());
     for (const auto& it : seeds)
         replicas.push_back(it.text());
     m_hub->post([this, replicas](TimePoint /*now*/) { m_state->addReplicas(replicas); });
@@ -224,9 +225,8 @@
 
 void DirectServer::submit(Submission submission, AnswerHook answer)
 {
-    m_hub->post([this, submission = std::move(submission), answer = std::move(answer)](TimePoint now) {
-        accept(now, submission, answer);
-    });
+    m_hub->post([this, submission = std::move(submission), answer = std::move(answer)](
+                    TimePoint now) { accept(now, submission, answer); });
 }
 
 void DirectServer::accept(TimePoint now, const Submission& submission, const AnswerHook& answer)
@@ -248,8 +248,7 @@
     request.job = submission.job;
     request.patience = submission.patience.value_or(std::chrono::milliseconds(found->route->timeout_ms()));
     request.exchange = submission.exchange;
-    m_jobs.submit(
-        now, std::move(request), [answer](const JobOutcome& outcome) { answer(answerOf(outcome)); });
+    m_jobs.submit(now, std::move(request), [answer](const JobOutcome& outcome) { answer(answerOf(outcome)); });
 }
 
 // Only best-effort jobs are taken, which wait in no queue and leave nothing behind.
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -14,7 +14,8 @@
 
     uint64_t toMs(Duration duration)
     {
-        return static_cast<uint64_t>(std::max<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0));
+        return static_cast<uint64_t>(
+            std::max<int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(), 0));
     }
 
 } // namespace
@@ -100,7 +101,8 @@
 
 LinePosition JobTable::position(const Job& job, size_t step, size_t index) const
 {
-    return { job.request.route.priority(), !job.mayHaveRun, job.number, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
+    return { job.request.route.priority(), !job.mayHaveRun, job.number, static_cast<uint32_t>(step),
+        static_cast<uint32_t>(index) };
 }
 
 void JobTable::queue(TimePoint now, Job& job, size_t step, size_t index)
@@ -109,7 +111,8 @@
     task.waiting = true;
     task.queuedAt = task.queuedAt.value_or(now);
     const StepTask key { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
-    m_line.add(position(job, step, index), { key, job.request.route.service(), job.request.job.steps[step].need, *task.queuedAt });
+    m_line.add(
+        position(job, step, index), { key, job.request.route.service(), job.request.job.steps[step].need, *task.queuedAt });
 }
 
 void JobTable::unqueue(Job& job)
@@ -203,7 +206,8 @@
     ++job.outstanding;
     OfferBook::onSent(*view, demand.need, grant != 0);
     wire::StartTask& start = *outbox(placed.agent).add_starts();
-    *start.mutable_key() = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+    *start.mutable_key()
+        = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
     start.set_specification(job.request.job.specification);
     *start.mutable_need() = wire::toWire(demand.need);
     start.set_estimate_ms(demand.estimateMs);
@@ -219,14 +223,10 @@
         return;
     view->replyDue = view->replyDue || view->attempts > 0 || message.reports_size() > 0;
     if (message.first_report() <= view->ackedReports + 1)
-        view->ackedReports = std::max(
-            view->ackedReports, message.first_report() + static_cast<uint64_t>(message.reports_size()) - (message.reports_size() > 0 ? 1 : 0));
+        view->ackedReports = std::max(view->ackedReports,
+            message.first_report() + static_cast<uint64_t>(message.reports_size()) - (message.reports_size() > 0 ? 1 : 0));
     for (const auto& it : message.reports())
         applyReport(now, id, it);
-    for (const auto& it : message.grants())
-        useGrant(now, id, it);
-    if (!m_line.empty())
-        serveLine(now);
     // A new process of the agent ends what the old one started before it offers anything.
     if (message.offer().accepting()) {
         std::vector<AgentId> earlier;
@@ -236,6 +236,10 @@
         for (const auto& it : earlier)
             loseAgent(now, it, "agent_restarted");
     }
+    for (const auto& it : message.grants())
+        useGrant(now, id, it);
+    if (!m_line.empty())
+        serveLine(now);
 }
 
 void JobTable::release(Task& task)
@@ -383,7 +387,7 @@
     stopAttempts(job);
 }
 
-void JobTable::answer(TimePoint now, Job& job, JobOutcome outcome)
+void JobTable::answer(TimePoint now, Job& job, const JobOutcome& outcome)
 {
     unqueue(job);
     job.answered = true;
@@ -485,8 +489,8 @@
 {
     for (auto& it : m_jobs) {
         Job& job = it.second;
-        const auto caller = std::find_if(
-            job.callers.begin(), job.callers.end(), [exchange](const Caller& candidate) { return candidate.exchange == exchange; });
+        const auto caller = std::find_if(job.callers.begin(), job.callers.end(),
+            [exchange](const Caller& candidate) { return candidate.exchange == exchange; });
         if (caller == job.callers.end())
             continue;
         const JobResponder respond = std::move(caller->respond);
@@ -522,7 +526,8 @@
                 if (task.state != TaskState::Sent || task.agent != agent)
                     continue;
                 wire::AttemptReport report;
-                *report.mutable_key() = wire::toWire({ job.first, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+                *report.mutable_key()
+                    = wire::toWire({ job.first, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
                 report.set_state(wire::ATTEMPT_LOST);
                 report.set_reason(reason);
                 reports.push_back(report);
@@ -593,7 +598,8 @@
         if (added)
             demand->second = m_line.demand(now, view.offer.service());
         const bool waits = demand->second.tasks() > 0;
-        const bool demandDue = (waits && now - view.demandSent >= m_options.demandInterval) || (!waits && view.demandTold);
+        const bool renews = view.demandTold && now - view.demandSent >= m_options.demandInterval;
+        const bool demandDue = waits != view.demandTold || (waits && renews);
         const auto found = m_outbox.find(it.first);
         const bool spaced = (view.replyDue || view.toldInterval != interval) && now - view.sent >= m_options.replySpacing;
         if (found == m_outbox.end() && !spaced && !demandDue)
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -174,7 +174,7 @@
     void onDone(TimePoint now, Job&, size_t step);
     void giveUp(TimePoint now, Job&, const std::string& reason);
     void onStarted(TimePoint since, Job&, Task&);
-    void answer(TimePoint now, Job&, JobOutcome);
+    void answer(TimePoint now, Job&, const JobOutcome&);
     void stopAttempts(Job&);
     void stopAttempt(const Job&, size_t step, size_t index);
     void release(Task&);
--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -11,10 +11,7 @@
 {
 }
 
-void StateClient::propose(const wire::Command& command, ResultHook hook)
-{
-    m_batch.emplace_back(command, std::move(hook));
-}
+void StateClient::propose(const wire::Command& command, ResultHook hook) { m_batch.emplace_back(command, std::move(hook)); }
 
 void StateClient::fetchOpenClaims(TimePoint now, const std::string& service, uint64_t epoch, ClaimsHook hook)
 {
--- a/fescuegw/logging/BoundedAppenderTest.cpp
+++ b/fescuegw/logging/BoundedAppenderTest.cpp
@@ -6,8 +6,8 @@
 #include <fcntl.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
-#include <log4cplus/spi/loggingevent.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
 
 #include "fescuegw/logging/internal/BoundedAppender.h"
--- a/fescuegw/logging/internal/BoundedAppender.h
+++ b/fescuegw/logging/internal/BoundedAppender.h
@@ -15,7 +15,8 @@
 public:
     using Clock = std::function<std::chrono::steady_clock::time_point()>;
 
-    explicit BoundedAppender(int descriptor, uint32_t linesPerSecond = defaultLinesPerSecond,
+    explicit BoundedAppender(
+        int descriptor, uint32_t linesPerSecond = defaultLinesPerSecond,
         Clock clock = [] { return std::chrono::steady_clock::now(); });
     ~BoundedAppender() override;
     BoundedAppender(const BoundedAppender&) = delete;
--- /dev/null
+++ b/fescuegw/state/FormationTest.cpp
@@ -0,0 +1,272 @@
+// Groups that form and repair themselves: replicas and the membership policy in virtual time, with lost disks and hosts.
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include <criterion/criterion.h>
+
+#include "fescuegw/state/MembershipPolicy.h"
+
+namespace {
+
+using namespace fescuegw;
+using namespace fescuegw::state;
+
+constexpr Duration step = std::chrono::milliseconds(10);
+constexpr uint64_t seedCount = 3;
+
+// One host with a disk, its replica while it runs, and the policy that counts while it leads.
+struct Host {
+    uint64_t id = 0;
+    uint64_t identity = 0;
+    std::string address;
+    raft::DurableState disk;
+    std::unique_ptr<raft::Replica> replica;
+    MembershipPolicy policy { { .voters = 5 } };
+    uint64_t ledTerm = 0;
+    bool unsynced = false;
+    std::vector<std::string> applied;
+};
+
+class Group {
+public:
+    explicit Group(uint64_t seed)
+        : m_random(seed)
+    {
+        for (int n = 0; n < 5; ++n)
+            m_hosts.push_back(std::make_unique<Host>());
+        for (size_t n = 0; n < m_hosts.size(); ++n) {
+            Host& host = *m_hosts[n];
+            host.address = "host" + std::to_string(n);
+            wipe(host, n < seedCount ? n + 1 : 0);
+            if (n >= seedCount)
+                continue;
+            for (uint64_t id = 1; id <= seedCount; ++id) {
+                wire::Member* member = host.disk.initialMembership.add_members();
+                member->set_id(id);
+                member->set_address("host" + std::to_string(id - 1));
+                member->set_voter(true);
+            }
+        }
+        for (auto& it : m_hosts)
+            start(*it);
+    }
+
+    Host& host(size_t n) { return *m_hosts[n]; }
+
+    void stop(size_t n) { host(n).replica.reset(); }
+    // The host comes back with an empty disk.
+    void replaceDisk(size_t n)
+    {
+        stop(n);
+        wipe(host(n), 0);
+        start(host(n));
+    }
+
+    void moveTo(size_t n, const std::string& address) { host(n).address = address; }
+
+    void run(Duration duration)
+    {
+        const TimePoint until = m_now + duration;
+        while (m_now < until) {
+            m_now += step;
+            turn();
+        }
+    }
+
+    Host* leader()
+    {
+        for (auto& it : m_hosts)
+            if (it->replica && it->replica->hasLease(m_now))
+                return it.get();
+        return nullptr;
+    }
+
+    bool propose(const std::string& command)
+    {
+        Host* leading = leader();
+        return leading != nullptr && leading->replica->propose(m_now, command).has_value();
+    }
+
+    // Returns the addresses of all voters that the leader knows.
+    std::vector<std::string> voters()
+    {
+        std::vector<std::string> list;
+        if (Host* leading = leader())
+            for (const auto& it : leading->replica->membership().members())
+                if (it.voter())
+                    list.push_back(it.address());
+        std::sort(list.begin(), list.end());
+        return list;
+    }
+
+private:
+    void wipe(Host& host, uint64_t id)
+    {
+        host.identity = m_random() | 1U;
+        host.id = id != 0 ? id : m_random() | (1ULL << 40U);
+        host.disk = {};
+        host.applied.clear();
+    }
+
+    void start(Host& host)
+    {
+        raft::ReplicaOptions options;
+        options.id = host.id;
+        options.identity = host.identity;
+        options.electionTimeout = std::chrono::milliseconds(500);
+        options.heartbeatInterval = std::chrono::milliseconds(80);
+        options.clockMargin = std::chrono::milliseconds(100);
+        raft::ReplicaHooks hooks;
+        hooks.send = [this](const wire::RaftMessage& m) { m_mail.emplace_back(m_now, m); };
+        hooks.saveHardState = [&host](const wire::HardState& it) {
+            host.disk.hardState = it;
+            host.unsynced = true;
+        };
+        hooks.saveEntry = [&host](const wire::LogEntry& it) {
+            while (!host.disk.entries.empty() && host.disk.entries.back().index() >= it.index())
+                host.disk.entries.pop_back();
+            host.disk.entries.push_back(it);
+            host.unsynced = true;
+        };
+        hooks.saveSnapshot = [&host](const wire::Snapshot& snapshot, const wire::HardState& hard, const auto& entries) {
+            host.disk.snapshot = snapshot;
+            host.disk.hardState = hard;
+            host.disk.entries = entries;
+        };
+        hooks.apply = [&host](const wire::LogEntry& it) {
+            if (!it.command().empty())
+                host.applied.push_back(it.command());
+        };
+        hooks.restore = [](const std::string&) {};
+        hooks.captureState = [] { return std::string(); };
+        hooks.random = [this](uint64_t bound) { return m_random() % bound; };
+        host.applied.clear();
+        host.ledTerm = 0;
+        host.replica = std::make_unique<raft::Replica>(options, host.disk, hooks, m_now);
+    }
+
+    void deliver()
+    {
+        std::vector<std::pair<TimePoint, wire::RaftMessage>> mail;
+        mail.swap(m_mail);
+        for (const auto& it : mail)
+            for (auto& host : m_hosts)
+                if (host->replica && host->id == it.second.to())
+                    host->replica->receive(m_now, it.second);
+    }
+
+    void turn()
+    {
+        deliver();
+        for (auto& it : m_hosts) {
+            if (!it->replica)
+                continue;
+            raft::Replica& replica = *it->replica;
+            replica.tick(m_now);
+            replica.synced(m_now);
+            if (!replica.hasLease(m_now))
+                continue;
+            if (it->ledTerm != replica.term()) {
+                it->ledTerm = replica.term();
+                it->policy.startTerm(m_now);
+            }
+            hearCandidates(*it);
+            change(*it);
+        }
+    }
+
+    // Replicas that don't vote ask every 300 ms.
+    void hearCandidates(Host& leading)
+    {
+        if ((m_now.time_since_epoch() / step) % 30 != 0)
+            return;
+        for (auto& it : m_hosts) {
+            if (!it->replica || it->replica->votes())
+                continue;
+            wire::Member candidate;
+            candidate.set_id(it->id);
+            candidate.set_identity(it->identity);
+            candidate.set_address(it->address);
+            leading.policy.onCandidate(m_now, candidate);
+        }
+    }
+
+    void change(Host& leading)
+    {
+        const auto next = leading.policy.next(m_now, *leading.replica);
+        if (!next)
+            return;
+        if (next->kind == MembershipChange::Kind::Add)
+            leading.replica->changeMembership(m_now, next->member, next->replaces);
+        else
+            leading.replica->removeMember(m_now, next->member.id());
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now { std::chrono::hours(1) };
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::vector<std::pair<TimePoint, wire::RaftMessage>> m_mail;
+};
+
+constexpr uint64_t seeds = 40;
+const std::vector<std::string> allHosts { "host0", "host1", "host2", "host3", "host4" };
+
+} // namespace
+
+Test(Formation, threeSeedsGrowToFiveVoters)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        cr_assert(group.voters() == allHosts, "seed %lu", seed);
+    }
+}
+
+// Two of five disks are lost right after a commit; the group repairs itself and keeps what was committed.
+Test(Formation, twoLostDisksAreReplaced)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        cr_assert(group.propose("kept"), "seed %lu", seed);
+        group.run(std::chrono::milliseconds(50));
+        group.replaceDisk(seed % 5);
+        group.replaceDisk((seed + 2) % 5);
+        group.run(std::chrono::seconds(8));
+        cr_assert(group.voters() == allHosts, "seed %lu", seed);
+        for (size_t n = 0; n < 5; ++n)
+            cr_assert(group.host(n).applied == std::vector<std::string> { "kept" }, "seed %lu host %zu", seed, n);
+    }
+}
+
+// A host is gone for good, and an empty one comes at another address.
+Test(Formation, aReplacedHostLeavesTheGroup)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t n = seed % 5;
+        group.stop(n);
+        group.run(std::chrono::seconds(1));
+        group.moveTo(n, "elsewhere");
+        group.replaceDisk(n);
+        group.run(std::chrono::seconds(6));
+        const auto voters = group.voters();
+        cr_assert_eq(voters.size(), 5, "seed %lu: %zu voters", seed, voters.size());
+        cr_assert_eq(std::count(voters.begin(), voters.end(), "elsewhere"), 1, "seed %lu", seed);
+    }
+}
+
+// With as many voters as must stay, a silent one is kept: it may come back.
+Test(Formation, aSilentVoterIsKeptWithoutASuccessor)
+{
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        group.stop(seed % 5);
+        group.run(std::chrono::seconds(10));
+        cr_assert(group.voters() == allHosts, "seed %lu", seed);
+    }
+}
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -8,8 +8,8 @@
 
     const wire::Member* findMember(const wire::Membership& membership, uint64_t id)
     {
-        const auto it = std::find_if(
-            membership.members().begin(), membership.members().end(), [id](const wire::Member& member) { return member.id() == id; });
+        const auto it = std::find_if(membership.members().begin(), membership.members().end(),
+            [id](const wire::Member& member) { return member.id() == id; });
         return it == membership.members().end() ? nullptr : &*it;
     }
 
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -265,7 +265,8 @@
 
 void StateServer::submit(wire::StateRequest request, ReplyHook reply)
 {
-    m_hub->post([this, request = std::move(request), reply = std::move(reply)](TimePoint now) { onRequest(now, request, reply); });
+    m_hub->post(
+        [this, request = std::move(request), reply = std::move(reply)](TimePoint now) { onRequest(now, request, reply); });
 }
 
 void StateServer::onBatchEnd(TimePoint now)
--- a/fescuegw/wire/Direct.h
+++ b/fescuegw/wire/Direct.h
@@ -10,7 +10,8 @@
 
 inline fescuegw::Resources toResources(const Resources& wire)
 {
-    return { static_cast<int64_t>(wire.cores_milli()), static_cast<int64_t>(wire.memory_mb()), static_cast<int64_t>(wire.gpus()) };
+    return { static_cast<int64_t>(wire.cores_milli()), static_cast<int64_t>(wire.memory_mb()),
+        static_cast<int64_t>(wire.gpus()) };
 }
 
 // What is below nothing (an upstream that turned out smaller than its load) is shown as nothing.
