Entries acknowledge only reports that have come

A message without reports carries the number of the next one, and the entry acknowledged that: the agent then dropped the report it was about to send. Ruled out: a lost start (the agent logged its refusal), a broken link (no reconnect in the logs). Before: two new tests of JobTable fail. After: they pass. Conclusion: acknowledgements count reports that were received, from where an agent is when it becomes known.

--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -222,9 +222,6 @@
     if (view == nullptr)
         return;
     view->replyDue = view->replyDue || view->attempts > 0 || message.reports_size() > 0;
-    if (message.first_report() <= view->ackedReports + 1)
-        view->ackedReports = std::max(view->ackedReports,
-            message.first_report() + static_cast<uint64_t>(message.reports_size()) - (message.reports_size() > 0 ? 1 : 0));
     for (const auto& it : message.reports())
         applyReport(now, id, it);
     // A new process of the agent ends what the old one started before it offers anything.
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -24,6 +24,7 @@
                  for (const uint64_t it : message.declined_grants())
                      declined.push_back(it);
                  demand[agent] = message.demand();
+                 acked[agent] = message.acked_reports();
              },
                 [](uint64_t) { return 0; }, {} })
     {
@@ -104,6 +105,7 @@
     std::vector<uint64_t> declined;
     std::map<AgentId, wire::Demand> demand;
     std::map<AgentId, uint64_t> reports;
+    std::map<AgentId, uint64_t> acked;
     std::map<AgentId, uint32_t> slowness;
     std::map<std::string, JobOutcome> outcomes;
     JobTable table;
@@ -340,3 +342,32 @@
     entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE);
     cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
 }
+
+// Agents forget reports that are acknowledged: one that has not come must not be.
+Test(JobTable, onlyReportsThatHaveComeAreAcknowledged)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 2);
+    cr_assert_eq(entry.acked[a1], 0, "a message without reports says which number comes next");
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE);
+    entry.pass(200);
+    cr_assert_eq(entry.acked[a1], 1);
+    auto later = entry.message(a1, 64000);
+    later.set_first_report(3);
+    entry.table.onAgent(entry.now, later);
+    entry.pass(200);
+    cr_assert_eq(entry.acked[a1], 1, "number 2 is missing");
+}
+
+// An entry that has forgotten an agent takes up the count where the agent is, or the agent would repeat its reports for ever.
+Test(JobTable, aForgottenAgentIsAcknowledgedFromWhereItIs)
+{
+    Entry entry;
+    auto it = entry.message(a1, 64000);
+    it.set_first_report(50);
+    it.add_reports()->mutable_key()->set_job("gone");
+    entry.table.onAgent(entry.now, it);
+    entry.pass(200);
+    cr_assert_eq(entry.acked[a1], 50);
+}
--- a/fescuegw/direct/OfferBook.cpp
+++ b/fescuegw/direct/OfferBook.cpp
@@ -17,7 +17,14 @@
     const auto newer = m_agents.upper_bound(id);
     if (newer != m_agents.end() && newer->first.name == id.name)
         return nullptr;
-    AgentView& view = m_agents[id];
+    const auto [found, added] = m_agents.try_emplace(id);
+    AgentView& view = found->second;
+    // What came before an agent was known, or while it was forgotten, is of no use any more.
+    if (added && message.first_report() > 0)
+        view.ackedReports = message.first_report() - 1;
+    const auto reports = static_cast<uint64_t>(message.reports_size());
+    if (reports > 0 && message.first_report() <= view.ackedReports + 1)
+        view.ackedReports = std::max(view.ackedReports, message.first_report() + reports - 1);
     view.heard = now;
     view.seenClockUs = std::max(view.seenClockUs, message.clock_us());
     // A message that travelled longer makes the clock look less far ahead; the largest value is the nearest to the truth.
