Calls of unknown teams wait for a view as new as themselves before they are refused with 404

Cause: an entry refused a call of a team that its view doesn't know at once. Views lag by up to a heartbeat (200 ms), so that a caller who had seen a configuration acknowledged by one entry got a wrong 404 from another. Ruled out: limits on silent links, CLOCK_BOOTTIME and a forwarded call that is lost, as KNOWN-RED suspected: the entry's log of the failed run shows the configuration in force only after the submission. New test: call_router_test; with the check of the view's age taken out, 2 of its 4 tests fail.

--- a/fescuegw/entry/CallRouter.cpp
+++ b/fescuegw/entry/CallRouter.cpp
@@ -50,10 +50,48 @@
 void CallRouter::add(TimePoint now, Routed routed)
 {
     const uint64_t id = ++m_nextId;
+    routed.received = now;
     m_calls[id] = std::move(routed);
     route(now, id);
 }
 
+// Returns what the view in force doesn't know of `call`. Submissions that ran under a configuration that is gone are still
+// found: their service keeps its owner.
+std::optional<Error> CallRouter::unknown(const Call& call) const
+{
+    if (call.kind != CallKind::Submit && call.kind != CallKind::SingleRequest)
+        return std::nullopt;
+    if (m_dispatcher.team(call.key.team) == nullptr)
+        return Error { Verdict::NotRun, statusNotFound, "unknown team " + call.key.team };
+    if (!m_dispatcher.owner(call.service).empty())
+        return std::nullopt;
+    for (const auto& team : m_dispatcher.view().teams())
+        for (const auto& service : team.services())
+            if (service.name() == call.service)
+                return std::nullopt;
+    return Error { Verdict::NotRun, statusNotFound, "unknown service " + call.service };
+}
+
+// Refuses a call of a team or service that does not exist. Views lag by up to a heartbeat, and the caller may know of a
+// configuration through another entry: the call waits until a view that is at least as new as itself says the same.
+bool CallRouter::refuseUnknown(TimePoint now, uint64_t id)
+{
+    Routed& routed = m_calls.at(id);
+    const auto error = unknown(routed.call);
+    if (!error)
+        return false;
+    const TimePoint* confirmed = m_state.confirmedAsOf();
+    if (confirmed != nullptr && *confirmed >= routed.received) {
+        answer(id, http::problem(*error));
+    } else if (!m_state.reachable()) {
+        answer(id, http::problem({ Verdict::NotRun, statusUnavailable, error->detail + ", as far as a cut-off entry can tell" }));
+    } else {
+        routed.parked = true;
+        m_state.refreshView(now);
+    }
+    return true;
+}
+
 void CallRouter::route(TimePoint now, uint64_t id)
 {
     Routed& routed = m_calls.at(id);
@@ -63,6 +101,8 @@
         locate(now, id);
         return;
     }
+    if (refuseUnknown(now, id))
+        return;
     if (dispatch::ServiceDispatcher* service = m_dispatcher.owned(routed.call.service)) {
         serveHere(now, id, *service);
         return;
@@ -115,12 +155,7 @@
     const dispatch::ReplyHook reply = [this, id](const dispatch::Reply& it) { onReply(id, it); };
     routed.handedOver = true;
     if (routed.call.kind == CallKind::Submit || routed.call.kind == CallKind::SingleRequest) {
-        const wire::TeamConfiguration* team = m_dispatcher.team(routed.call.key.team);
-        if (team == nullptr) {
-            answer(id, http::problem({ Verdict::NotRun, statusNotFound, "unknown team" }));
-            return;
-        }
-        service.submit(now, routed.call.spec, *team, routed.due, reply);
+        service.submit(now, routed.call.spec, *m_dispatcher.team(routed.call.key.team), routed.due, reply);
         return;
     }
     const SubmissionKey key = routed.call.key;
--- a/fescuegw/entry/CallRouter.h
+++ b/fescuegw/entry/CallRouter.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <control.pb.h>
@@ -45,6 +46,7 @@
 private:
     struct Routed {
         Call call;
+        TimePoint received;
         TimePoint due;
         AnswerHook answer;
         bool forwardable = true;
@@ -57,6 +59,8 @@
     };
 
     void add(TimePoint now, Routed);
+    bool refuseUnknown(TimePoint now, uint64_t id);
+    std::optional<Error> unknown(const Call&) const;
     void route(TimePoint now, uint64_t id);
     void locate(TimePoint now, uint64_t id);
     void serveHere(TimePoint now, uint64_t id, dispatch::ServiceDispatcher&);
--- a/fescuegw/entry/EntryHttp.cpp
+++ b/fescuegw/entry/EntryHttp.cpp
@@ -100,8 +100,9 @@
         respond(*response);
     };
     m_hub->post([this, call = std::move(*call), request = std::move(request), answer](TimePoint now) {
-        if (const auto error = refusal(call)) {
-            const http::Response response = http::problem(*error);
+        if (!m_dispatcher->hasView()) {
+            const http::Response response
+                = http::problem({ Verdict::NotRun, statusUnavailable, "no configuration is confirmed yet" });
             answer(&response);
             return;
         }
@@ -109,25 +110,6 @@
     });
 }
 
-// A call that no owner could ever take. Submissions that ran under a configuration that is gone are still found: their service
-// keeps its owner.
-std::optional<Error> EntryServer::refusal(const Call& call) const
-{
-    if (!m_dispatcher->hasView())
-        return Error { Verdict::NotRun, statusUnavailable, "no configuration is confirmed yet" };
-    if (call.kind != CallKind::Submit && call.kind != CallKind::SingleRequest)
-        return std::nullopt;
-    if (m_dispatcher->team(call.key.team) == nullptr)
-        return Error { Verdict::NotRun, statusNotFound, "unknown team " + call.key.team };
-    if (!m_dispatcher->owner(call.service).empty())
-        return std::nullopt;
-    for (const auto& team : m_dispatcher->view().teams())
-        for (const auto& service : team.services())
-            if (service.name() == call.service)
-                return std::nullopt;
-    return Error { Verdict::NotRun, statusNotFound, "unknown service " + call.service };
-}
-
 bool EntryServer::isOperator(const http::Request& request) const
 {
     return equalSecrets(request.authorization, "Bearer " + m_settings.operatorToken);
--- a/fescuegw/entry/EntryServer.h
+++ b/fescuegw/entry/EntryServer.h
@@ -63,9 +63,6 @@
     void handleOperator(const http::Request&, const http::Responder&);
     bool isOperator(const http::Request&) const;
 
-    // Link thread: what refuses a call at once.
-    std::optional<Error> refusal(const Call&) const;
-
     // Operators' requests, on the link thread.
     void applyQuestionnaire(TimePoint now, const wire::ApplyConfiguration&, const http::Responder&);
     void answerStatus(TimePoint now, const http::Responder&);
--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -97,6 +97,9 @@
     m_contacted = true;
     noteReachable(now, true);
     if (reply.has_heartbeat()) {
+        // An answer to an earlier heartbeat confirms less; it is left to the next one.
+        if (reply.request_id() == m_heartbeatId)
+            m_confirmedAsOf = m_heartbeatSent;
         onHeartbeat(now, reply.heartbeat());
         return;
     }
@@ -163,6 +166,11 @@
     m_hooks.send(m_replicas[m_target], request);
 }
 
+void StateClient::refreshView(TimePoint now)
+{
+    m_heartbeatDue = std::min(m_heartbeatDue, std::max(now, m_heartbeatSent + m_options.refreshSpacing));
+}
+
 void StateClient::flush(TimePoint now, const wire::EntryInfo& self)
 {
     sendBatch(now);
--- a/fescuegw/group/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -33,6 +33,8 @@
     // After this a request is sent again, to another replica.
     Duration requestTimeout { std::chrono::milliseconds(500) };
     Duration retryPause { std::chrono::milliseconds(50) };
+    // Between two heartbeats that are sent early to confirm the view.
+    Duration refreshSpacing { std::chrono::milliseconds(25) };
     // Without an answer of a leader for this long, the group counts as unreachable.
     Duration unreachableAfter { std::chrono::milliseconds(2000) };
     int commandsPerRequest = 512;
@@ -65,6 +67,13 @@
     // Sets the time between two heartbeats from now on.
     void setHeartbeatInterval(Duration interval) { m_options.heartbeatInterval = interval; }
 
+    // Asks for the view with the next flush, unless that was done a moment ago.
+    void refreshView(TimePoint now);
+    // Returns the time as of which the view and the routing are known to be the newest, or nothing before the first answer.
+    const TimePoint* confirmedAsOf() const { return m_contacted ? &m_confirmedAsOf : nullptr; }
+    // Returns whether a leader answers.
+    bool reachable() const { return m_reachable; }
+
     // Returns when a leader last answered, or nothing.
     const TimePoint* lastContact() const { return m_contacted ? &m_lastContact : nullptr; }
     uint64_t routingVersion() const { return m_routingVersion; }
@@ -98,6 +107,8 @@
     // Any answer of any replica, and an answer of a leader.
     TimePoint m_lastReply;
     TimePoint m_lastContact;
+    // When the newest heartbeat that a leader answered was sent.
+    TimePoint m_confirmedAsOf;
     bool m_contacted = false;
     uint64_t m_revision = 0;
     uint64_t m_entriesRevision = 0;
