Ends of runs are seen soon also while answers of the upstream are lost

An agent waited 200 ms beyond the 100 ms that its hold asked for, so that runs of 60 to 200 ms kept their room for up to 300 ms more; 297 jobs were refused for want of room (`line_of_N_ms`, `waited_too_long`), and the delay counted as slowness of the upstream. Ruled out: the poisoned jobs and the restarted entries of the same seconds (5 jobs failed, 5 were refused as "stopping"). A hold that fails at once is repeated after 30 ms instead of immediately. New test: RunTable.lostAnswersShortenTheNextHolds (fails before: holds wait 100 ms throughout).

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -24,7 +24,8 @@
     constexpr Duration unlistedMemory = std::chrono::seconds(10);
     // A silent link is opened anew well within the entries' lease.
     constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
-    constexpr Duration holdRetry = std::chrono::milliseconds(50);
+    // From sending a hold that failed to the next one: an upstream that is down refuses connections at once.
+    constexpr Duration holdRetry = std::chrono::milliseconds(30);
 
     std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
 
@@ -114,10 +115,9 @@
         if (failed != m_holdFailed)
             Event(failed ? Level::Warn : Level::Info, failed ? "hold_failed" : "hold_answered").with("reason", answer.reason);
         m_holdFailed = failed;
-        m_upstream->hold(now, m_table.nextHold(now));
+        m_holdDue = failed ? sent + holdRetry : now;
     };
     m_upstream = std::make_unique<UpstreamLink>(m_settings.orderThreads, m_connect, upstreamHooks);
-    m_hub->post([this](TimePoint now) { m_upstream->hold(now, m_table.nextHold(now)); });
     Event(Level::Info, "agent_started").with("identity", toString(m_identity)).with("seeds", m_settings.seeds.size());
     return {};
 }
@@ -321,6 +321,10 @@
     m_state->flush(now, wire::EntryInfo());
     expireLinks(now);
     sendOffers(now);
+    if (m_holdDue && now >= *m_holdDue) {
+        m_holdDue = std::nullopt;
+        m_upstream->hold(now, m_table.nextHold(now));
+    }
     m_running.Set(static_cast<double>(m_table.running()));
     m_ready = m_table.accepting(now);
     if (drained(now))
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -94,6 +94,8 @@
     TimePoint m_drainUntil;
     std::atomic<bool> m_ready { false };
     bool m_holdFailed = false;
+    // When the next hold is to be sent, unless one is under way. The first one falls due at once.
+    std::optional<TimePoint> m_holdDue { TimePoint() };
 
     prometheus::Counter& m_done;
     prometheus::Counter& m_failed;
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -363,6 +363,7 @@
 {
     if (fenced)
         m_fence += fenceStep;
+    m_holdFailedAt = now;
     tick(now);
 }
 
@@ -372,7 +373,9 @@
     hold.fence = m_fence;
     hold.acknowledged = m_acknowledged;
     const bool busy = running() > 0;
-    hold.wait = busy ? m_options.holdWait : m_options.idleHoldWait;
+    // Answers lost answers: what ended meanwhile keeps its room, and its caller waiting, until the next listing.
+    const bool doubted = m_holdFailedAt && now - *m_holdFailedAt < m_options.doubt;
+    hold.wait = !busy ? m_options.idleHoldWait : doubted ? m_options.doubtedHoldWait : m_options.holdWait;
     // Nothing is gained by a wait before the first listing.
     if (!m_listedAt)
         hold.wait = Duration();
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -31,6 +31,10 @@
     // How long a hold waits for something to end.
     Duration holdWait { std::chrono::milliseconds(100) };
     Duration idleHoldWait { std::chrono::milliseconds(200) };
+    // The same while answers get lost: how late an end is seen is then this wait and the time after which an answer is given
+    // up. For this long after a hold without an answer.
+    Duration doubtedHoldWait { std::chrono::milliseconds(30) };
+    Duration doubt { std::chrono::milliseconds(1000) };
     // A start without an answer is sent again this often under the same number.
     uint32_t startRepeats = 2;
     GrantOptions grants;
@@ -148,6 +152,7 @@
     size_t m_foreign = 0;
     TimePoint m_foreignStopped;
     std::optional<TimePoint> m_listedAt;
+    std::optional<TimePoint> m_holdFailedAt;
     TimePoint m_lapseAt;
     bool m_departed = false;
     bool m_draining = false;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -343,3 +343,30 @@
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Superseded, std::nullopt);
     cr_assert_eq(agent.starts.back().second.run, 3);
 }
+
+// Pattern: a part of the upstream's answers is lost. Runs of some 60 ms must not keep their room for hundreds of milliseconds.
+Test(RunTable, lostAnswersShortenTheNextHolds)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    const Duration usual = agent.table.nextHold(agent.now).wait;
+    agent.table.onHoldFailure(agent.now, false);
+    cr_assert_leq(agent.table.nextHold(agent.now).wait, ms(30));
+    // One answer in three is lost.
+    for (int n = 0; n < 30; ++n) {
+        agent.pass(ms(60));
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        if (n % 3 == 2)
+            agent.table.onHoldFailure(agent.now, false);
+        else
+            agent.list({ row("job", 1) }, {});
+        cr_assert_leq(agent.table.nextHold(agent.now).wait, ms(30));
+    }
+    for (int n = 0; n < 5; ++n) {
+        agent.pass(ms(201));
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        agent.list({ row("job", 1) }, {});
+    }
+    cr_assert_eq(agent.table.nextHold(agent.now).wait, usual);
+}
