--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr std::string_view replicaPrefix = "replica-";
     // The list of entries changes rarely, and a new entry does no harm unknown. An agent that hears none is of no use.
     constexpr Duration viewInterval = std::chrono::milliseconds(800);
     constexpr Duration lonelyViewInterval = std::chrono::milliseconds(150);
@@ -27,8 +26,6 @@
     // From sending a hold that failed to the next one: an upstream that is down refuses connections at once.
     constexpr Duration holdRetry = std::chrono::milliseconds(30);
 
-    std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
-
     std::string entryLink(const std::string& address) { return "entry-" + address; }
 
 } // namespace
@@ -69,8 +66,9 @@
 {
     net::HubHooks hooks;
     hooks.onMessage = [this](TimePoint now, const net::Peer& peer, const std::string& m) { onMessage(now, peer, m); };
-    // Reports are repeated until acknowledged, requests by the client of the state group.
-    hooks.onUndeliverable = [](TimePoint, const net::Peer&, const std::string&) {};
+    // Reports to entries are repeated until acknowledged.
+    hooks.onUndeliverable
+        = [this](TimePoint now, const net::Peer& peer, const std::string& m) { m_state->onUndeliverable(now, peer, m); };
     hooks.onBatchEnd = [this](TimePoint now) { onBatchEnd(now); };
     net::HubOptions options;
     options.identity = toString(m_identity);
@@ -80,26 +78,14 @@
     if (auto started = m_hub->start(); !started)
         return started;
 
-    std::vector<std::string> replicas;
-    for (const auto& it : m_settings.seeds) {
-        replicas.push_back(it.text());
-        m_hub->connect(replicaLink(it.text()), it.text());
-    }
-    group::StateClientHooks stateHooks;
-    stateHooks.send = [this](const std::string& replica, const wire::StateRequest& request) {
-        wire::StateEnvelope envelope;
-        *envelope.mutable_request() = request;
-        m_hub->send({ net::Peer::Direction::Connected, replicaLink(replica) }, envelope.SerializeAsString());
-    };
+    group::GroupLinkHooks stateHooks;
     stateHooks.onView = [this](TimePoint now, const wire::View& view) { onView(now, view); };
-    stateHooks.onRouting = [](TimePoint, const wire::Routing&) {};
-    stateHooks.onReplica = [this](const std::string& replica) { m_hub->connect(replicaLink(replica), replica); };
     stateHooks.onReachable = [](TimePoint, bool reachable) {
         Event(reachable ? Level::Info : Level::Warn, reachable ? "state_group_reachable" : "state_group_lost");
     };
     group::StateClientOptions stateOptions;
     stateOptions.heartbeatInterval = viewInterval;
-    m_state = std::make_unique<group::StateClient>(stateOptions, replicas, stateHooks);
+    m_state = std::make_unique<group::GroupLink>(*m_hub, stateOptions, m_settings.seeds, stateHooks);
 
     UpstreamLinkHooks upstreamHooks;
     upstreamHooks.post = [this](std::function<void(TimePoint)> task) { m_hub->post(std::move(task)); };
@@ -153,14 +139,7 @@
     m_hub->post([this, instance = std::move(instance)](TimePoint now) { m_table.onDeparture(now, instance); });
 }
 
-void ArbiterServer::updateSeeds(const std::vector<settings::Address>& seeds)
-{
-    std::vector<std::string> replicas;
-    replicas.reserve(seeds.size());
-    for (const auto& it : seeds)
-        replicas.push_back(it.text());
-    m_hub->post([this, replicas](TimePoint /*now*/) { m_state->addReplicas(replicas); });
-}
+void ArbiterServer::updateSeeds(const std::vector<settings::Address>& seeds) { m_state->addReplicas(seeds); }
 
 void ArbiterServer::onView(TimePoint now, const wire::View& view)
 {
@@ -195,14 +174,8 @@
 
 void ArbiterServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
 {
-    if (peer.name.starts_with(replicaPrefix)) {
-        wire::StateEnvelope envelope;
-        if (envelope.ParseFromString(content) && envelope.has_reply())
-            m_state->onReply(now, peer.name.substr(replicaPrefix.size()), envelope.reply());
-        else
-            Event(Level::Warn, "malformed_message").with("peer", peer.name);
+    if (m_state->onMessage(now, peer, content))
         return;
-    }
     wire::EntryToUpstream message;
     const auto link = m_links.find(peer.name);
     if (link == m_links.end() || !message.ParseFromString(content)) {
@@ -317,8 +290,8 @@
 {
     m_table.tick(now);
     const bool gathers = m_links.empty() || now - m_lastLinked < gathering;
-    m_state->setHeartbeatInterval(gathers ? lonelyViewInterval : viewInterval);
-    m_state->flush(now, wire::EntryInfo());
+    m_state->client().setHeartbeatInterval(gathers ? lonelyViewInterval : viewInterval);
+    m_state->client().flush(now, wire::EntryInfo());
     expireLinks(now);
     sendOffers(now);
     if (m_holdDue && now >= *m_holdDue) {
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -13,7 +13,7 @@
 #include "fescuegw/arbiter/RunTable.h"
 #include "fescuegw/arbiter/UpstreamLink.h"
 #include "fescuegw/daemon/Daemon.h"
-#include "fescuegw/group/StateClient.h"
+#include "fescuegw/group/GroupLink.h"
 #include "fescuegw/net/Hub.h"
 
 namespace fescuegw::arbiter {
@@ -85,7 +85,7 @@
     std::function<UpstreamCalls()> m_connect;
     RunTable m_table;
     std::unique_ptr<net::Hub> m_hub;
-    std::unique_ptr<group::StateClient> m_state;
+    std::unique_ptr<group::GroupLink> m_state;
     std::unique_ptr<UpstreamLink> m_upstream;
     // Links to entries, by name.
     std::map<std::string, EntryLink> m_links;
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr std::string_view replicaPrefix = "replica-";
     // A silent link is opened anew well within an agent's lease for this entry.
     constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
 
@@ -35,8 +34,6 @@
         return answer;
     }
 
-    std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
-
 } // namespace
 
 DirectSettings readDirectSettings(settings::Document& document)
@@ -138,28 +135,16 @@
     if (auto started = m_hub->start(); !started)
         return started;
 
-    std::vector<std::string> replicas;
-    for (const auto& it : m_settings.seeds) {
-        replicas.push_back(it.text());
-        m_hub->connect(replicaLink(it.text()), it.text());
-    }
-    group::StateClientHooks stateHooks;
-    stateHooks.send = [this](const std::string& replica, const wire::StateRequest& request) {
-        wire::StateEnvelope envelope;
-        *envelope.mutable_request() = request;
-        m_hub->send({ net::Peer::Direction::Connected, replicaLink(replica) }, envelope.SerializeAsString());
-    };
-    stateHooks.onView = [](TimePoint, const wire::View&) {};
+    group::GroupLinkHooks stateHooks;
     stateHooks.onRouting = [this](TimePoint, const wire::Routing& routing) {
         if (m_routes.replace(routing))
             Event(Level::Info, "routing_in_force").with("version", routing.version()).with("routes", routing.routes_size());
     };
-    stateHooks.onReplica = [this](const std::string& replica) { m_hub->connect(replicaLink(replica), replica); };
     stateHooks.onReachable = [this](TimePoint, bool reachable) {
         Event(reachable ? Level::Info : Level::Warn, reachable ? "state_group_reachable" : "state_group_lost")
             .with("routing_version", m_routes.version());
     };
-    m_state = std::make_unique<group::StateClient>(group::StateClientOptions(), replicas, stateHooks);
+    m_state = std::make_unique<group::GroupLink>(*m_hub, group::StateClientOptions(), m_settings.seeds, stateHooks);
     Event(Level::Info, "entry_started").with("identity", m_identity).with("seeds", m_settings.seeds.size());
     return {};
 }
@@ -185,14 +170,7 @@
     });
 }
 
-void DirectServer::updateSeeds(const std::vector<settings::Address>& seeds)
-{
-    std::vector<std::string> replicas;
-    replicas.reserve(seeds.size());
-    for (const auto& it : seeds)
-        replicas.push_back(it.text());
-    m_hub->post([this, replicas](TimePoint /*now*/) { m_state->addReplicas(replicas); });
-}
+void DirectServer::updateSeeds(const std::vector<settings::Address>& seeds) { m_state->addReplicas(seeds); }
 
 std::string DirectServer::unsupported(const JobSpecification& job)
 {
@@ -280,14 +258,8 @@
 
 void DirectServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
 {
-    if (peer.direction == net::Peer::Direction::Connected) {
-        wire::StateEnvelope envelope;
-        if (envelope.ParseFromString(content) && envelope.has_reply())
-            m_state->onReply(now, peer.name.substr(replicaPrefix.size()), envelope.reply());
-        else
-            Event(Level::Warn, "malformed_message").with("peer", peer.name);
+    if (m_state->onMessage(now, peer, content))
         return;
-    }
     wire::UpstreamToEntry message;
     if (!message.ParseFromString(content)) {
         Event(Level::Warn, "malformed_message").with("peer", peer.name);
@@ -298,8 +270,10 @@
 
 void DirectServer::onUndeliverable(TimePoint now, const net::Peer& peer, const std::string& content)
 {
+    if (m_state->onUndeliverable(now, peer, content))
+        return;
     wire::EntryToUpstream message;
-    if (peer.direction == net::Peer::Direction::Accepted && message.ParseFromString(content))
+    if (message.ParseFromString(content))
         m_jobs.onUndeliverable(now, parseAgentId(peer.name), message);
 }
 
@@ -316,7 +290,7 @@
 {
     m_jobs.tick(now);
     m_jobs.flush(now);
-    m_state->flush(now, self());
+    m_state->client().flush(now, self());
     m_ready = m_routes.version() > 0 && !m_draining;
     const auto set = [](prometheus::Gauge& gauge, uint64_t n) { gauge.Set(static_cast<double>(n)); };
     set(m_counters->inFlight, m_jobs.size());
--- a/fescuegw/direct/DirectServer.h
+++ b/fescuegw/direct/DirectServer.h
@@ -13,7 +13,7 @@
 #include "fescuegw/daemon/Daemon.h"
 #include "fescuegw/direct/JobTable.h"
 #include "fescuegw/direct/RouteTable.h"
-#include "fescuegw/group/StateClient.h"
+#include "fescuegw/group/GroupLink.h"
 #include "fescuegw/net/Hub.h"
 
 namespace fescuegw::direct {
@@ -109,7 +109,7 @@
     RouteTable m_routes;
     JobTable m_jobs;
     std::unique_ptr<net::Hub> m_hub;
-    std::unique_ptr<group::StateClient> m_state;
+    std::unique_ptr<group::GroupLink> m_state;
     std::shared_ptr<Counters> m_counters;
     std::atomic<bool> m_ready { false };
     bool m_draining = false;
--- a/fescuegw/entry/EntryServer.cpp
+++ b/fescuegw/entry/EntryServer.cpp
@@ -16,10 +16,6 @@
     constexpr Duration handOverLimit = std::chrono::seconds(3);
     constexpr Duration metricsInterval = std::chrono::milliseconds(500);
 
-    constexpr std::string_view replicaPrefix = "replica-";
-
-    std::string replicaLink(const std::string& address) { return std::string(replicaPrefix) + address; }
-
     std::string entryLink(const std::string& entry) { return "entry-" + entry; }
 
     Duration milliseconds(uint64_t n) { return std::chrono::milliseconds(n); }
@@ -117,19 +113,7 @@
     m_hub = std::make_unique<net::Hub>(hubOptions, hubHooks);
     if (auto started = m_hub->start(); !started)
         return started;
-    std::vector<std::string> replicas;
-    for (const auto& it : m_settings.replicas) {
-        replicas.push_back(it.second.text());
-        m_hub->connect(replicaLink(replicas.back()), replicas.back());
-    }
-    group::StateClientHooks stateHooks;
-    stateHooks.send = [this](const std::string& replica, const wire::StateRequest& request) {
-        wire::StateEnvelope envelope;
-        *envelope.mutable_request() = request;
-        m_hub->send({ net::Peer::Direction::Connected, replicaLink(replica) }, envelope.SerializeAsString());
-    };
-    stateHooks.onReplica = [this](const std::string& replica) { m_hub->connect(replicaLink(replica), replica); };
-    stateHooks.onRouting = [](TimePoint, const wire::Routing&) {};
+    group::GroupLinkHooks stateHooks;
     stateHooks.onReachable = [](TimePoint, bool reachable) {
         Event(reachable ? Level::Info : Level::Warn, reachable ? "state_group_reachable" : "state_group_lost");
     };
@@ -139,7 +123,11 @@
             connectEntries(view);
         m_dispatcher->onView(now, view);
     };
-    m_state = std::make_unique<group::StateClient>(group::StateClientOptions(), replicas, stateHooks);
+    std::vector<settings::Address> replicas;
+    for (const auto& it : m_settings.replicas)
+        replicas.push_back(it.second);
+    m_group = std::make_unique<group::GroupLink>(*m_hub, group::StateClientOptions(), replicas, stateHooks);
+    m_state = &m_group->client();
 
     dispatch::DispatchHooks dispatchHooks;
     dispatchHooks.sendToAgent = [this](const AgentId& agent, const wire::EntryToAgent& message) {
@@ -232,12 +220,8 @@
 {
     m_gauges->messagesIn.Increment();
     m_gauges->bytesIn.Increment(static_cast<double>(content.size()));
-    if (peer.direction == net::Peer::Direction::Connected && peer.name.starts_with(replicaPrefix)) {
-        wire::StateEnvelope envelope;
-        if (envelope.ParseFromString(content) && envelope.has_reply())
-            m_state->onReply(now, peer.name.substr(replicaPrefix.size()), envelope.reply());
+    if (m_group->onMessage(now, peer, content))
         return;
-    }
     wire::EntryEnvelope envelope;
     if (!envelope.ParseFromString(content)) {
         Event(Level::Warn, "malformed_message").with("peer", peer.name);
@@ -254,8 +238,7 @@
 void EntryServer::onUndeliverable(TimePoint now, const net::Peer& peer, const std::string& content)
 {
     wire::EntryEnvelope envelope;
-    const bool toState = peer.name.starts_with(replicaPrefix);
-    if (toState || !envelope.ParseFromString(content))
+    if (m_group->onUndeliverable(now, peer, content) || !envelope.ParseFromString(content))
         return;
     if (envelope.has_to_agent())
         m_dispatcher->onUndeliverable(now, parseAgentId(peer.name), envelope.to_agent());
--- a/fescuegw/entry/EntryServer.h
+++ b/fescuegw/entry/EntryServer.h
@@ -11,7 +11,7 @@
 #include "fescuegw/daemon/Daemon.h"
 #include "fescuegw/dispatch/Dispatcher.h"
 #include "fescuegw/entry/CallRouter.h"
-#include "fescuegw/group/StateClient.h"
+#include "fescuegw/group/GroupLink.h"
 #include "fescuegw/net/Hub.h"
 #include "fescuegw/trace/Trace.h"
 
@@ -74,7 +74,8 @@
     trace::Recorder m_recorder;
     daemon::Metrics& m_metrics;
     std::unique_ptr<net::Hub> m_hub;
-    std::unique_ptr<group::StateClient> m_state;
+    std::unique_ptr<group::GroupLink> m_group;
+    group::StateClient* m_state = nullptr;
     std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
     std::unique_ptr<CallRouter> m_router;
     std::unique_ptr<http::Server> m_callers;
--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -76,6 +76,23 @@
         m_hooks.onReachable(now, reachable);
 }
 
+void StateClient::sendSoon(TimePoint now, uint64_t requestId)
+{
+    const auto it = m_requests.find(requestId);
+    if (it != m_requests.end())
+        it->second.due = now + m_options.retryPause;
+    if (requestId == m_heartbeatId)
+        m_heartbeatDue = now + m_options.retryPause;
+}
+
+// Answers a group of which some replicas are still starting: waiting for an answer would take ten times as long.
+void StateClient::onUndeliverable(TimePoint now, const std::string& replica, const wire::StateRequest& request)
+{
+    if (m_replicas[m_target] == replica)
+        rotate();
+    sendSoon(now, request.request_id());
+}
+
 void StateClient::onReply(TimePoint now, const std::string& replica, const wire::StateReply& reply)
 {
     m_lastReply = now;
@@ -86,11 +103,7 @@
             m_target = static_cast<size_t>(known - m_replicas.begin());
         else if (m_replicas[m_target] == replica)
             rotate();
-        const auto it = m_requests.find(reply.request_id());
-        if (it != m_requests.end())
-            it->second.due = now + m_options.retryPause;
-        if (reply.request_id() == m_heartbeatId)
-            m_heartbeatDue = now + m_options.retryPause;
+        sendSoon(now, reply.request_id());
         return;
     }
     m_lastContact = now;
@@ -115,7 +128,8 @@
 {
     if (reply.has_routing() && reply.routing().version() > m_routingVersion) {
         m_routingVersion = reply.routing().version();
-        m_hooks.onRouting(now, reply.routing());
+        if (m_hooks.onRouting)
+            m_hooks.onRouting(now, reply.routing());
     }
     if (!reply.has_view() || reply.view().revision() < m_revision)
         return;
@@ -123,7 +137,8 @@
     m_revision = view.revision();
     m_entriesRevision = view.entries_revision();
     m_configurationVersion = view.configuration_version();
-    m_hooks.onView(now, view);
+    if (m_hooks.onView)
+        m_hooks.onView(now, view);
 }
 
 void StateClient::sendBatch(TimePoint now)
--- a/fescuegw/group/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -17,6 +17,7 @@
 using ClaimsHook = std::function<void(TimePoint, const wire::OpenClaimsReply&)>;
 using LookupHook = std::function<void(TimePoint, const wire::LookupReply&)>;
 
+// Each may be left out but `send`.
 struct StateClientHooks {
     std::function<void(const std::string& replica, const wire::StateRequest&)> send;
     std::function<void(TimePoint, const wire::View&)> onView;
@@ -60,6 +61,8 @@
     void addReplicas(const std::vector<std::string>& replicas);
 
     void onReply(TimePoint now, const std::string& replica, const wire::StateReply&);
+    // A request never left this host: the replica isn't there.
+    void onUndeliverable(TimePoint now, const std::string& replica, const wire::StateRequest&);
 
     // Sends what has gathered and what is due again, and the heartbeat. An unnamed `EntryInfo` only follows the view.
     void flush(TimePoint now, const wire::EntryInfo&);
@@ -88,6 +91,7 @@
 
     void onHeartbeat(TimePoint now, const wire::HeartbeatReply&);
     void learn(const wire::StateReply&);
+    void sendSoon(TimePoint now, uint64_t requestId);
     void noteReachable(TimePoint now, bool reachable);
     void sendHeartbeat(TimePoint now, const wire::EntryInfo&);
     void sendBatch(TimePoint now);
