--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -46,7 +46,11 @@
     m_hooks.send(m_replicas[m_target], outstanding.request);
 }
 
-void StateClient::rotate() { m_target = (m_target + 1) % m_replicas.size(); }
+void StateClient::rotate(TimePoint now)
+{
+    m_target = (m_target + 1) % m_replicas.size();
+    m_targetSince = now;
+}
 
 void StateClient::addReplicas(const std::vector<std::string>& replicas)
 {
@@ -89,7 +93,7 @@
 void StateClient::onUndeliverable(TimePoint now, const std::string& replica, const wire::StateRequest& request)
 {
     if (m_replicas[m_target] == replica)
-        rotate();
+        rotate(now);
     sendSoon(now, request.request_id());
 }
 
@@ -102,7 +106,7 @@
         if (known != m_replicas.end() && *known != replica)
             m_target = static_cast<size_t>(known - m_replicas.begin());
         else if (m_replicas[m_target] == replica)
-            rotate();
+            rotate(now);
         sendSoon(now, reply.request_id());
         return;
     }
@@ -162,11 +166,8 @@
 void StateClient::sendHeartbeat(TimePoint now, const wire::EntryInfo& self)
 {
     // An unanswered heartbeat means that the replica is gone or frozen: try another.
-    const bool unanswered = m_heartbeatSent > m_lastReply && now - m_lastReply > m_options.requestTimeout;
-    if (unanswered) {
-        rotate();
-        m_lastReply = now;
-    }
+    if (m_heartbeatSent > m_lastReply && now - std::max(m_lastReply, m_targetSince) > m_options.requestTimeout)
+        rotate(now);
     m_heartbeatDue = now + m_options.heartbeatInterval;
     m_heartbeatId = ++m_nextId;
     m_heartbeatSent = now;
--- a/fescuegw/group/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -96,12 +96,13 @@
     void sendHeartbeat(TimePoint now, const wire::EntryInfo&);
     void sendBatch(TimePoint now);
     void transmit(TimePoint now, Outstanding&);
-    void rotate();
+    void rotate(TimePoint now);
 
     StateClientOptions m_options;
     std::vector<std::string> m_replicas;
     StateClientHooks m_hooks;
     size_t m_target = 0;
+    TimePoint m_targetSince;
     uint64_t m_nextId = 0;
     std::map<uint64_t, Outstanding> m_requests;
     std::vector<std::pair<wire::Command, ResultHook>> m_batch;
