Waiting tasks are told to a few agents in turn, and a message of one agent is met with a look at that agent only

Entries were at their share of the processor (0.090 of 0.12 with the 14 s before the traffic included), agents gave room to lines that were long gone, and 29% of the jobs were refused, most "with servers free". Ruled out: lack of upstreams (refusals began at second 2, before the first fault) and the link's bandwidth (no queue at 25 Mbit/s). Change: DemandSpread tells at most 16 agents a round, each of a share; what was told counts for 120 ms; the line is served from the one agent that a message came from, and from all only when tasks were added and every 10 ms. New tests: aLongLineIsToldToAFewAgentsAtATime, DemandSpread.asksNoAgentForMoreThanItsShare.

--- a/fescuegw/arbiter/GrantBook.h
+++ b/fescuegw/arbiter/GrantBook.h
@@ -18,7 +18,7 @@
     // A grant that was not used is void after this: a round trip between failure domains and the time that a busy entry needs.
     Duration life { std::chrono::milliseconds(60) };
     // Demand that was not renewed is forgotten after this.
-    Duration demandLife { std::chrono::milliseconds(300) };
+    Duration demandLife { std::chrono::milliseconds(120) };
 };
 
 // Answers load near the whole capacity: tasks wait at their entries, and an upstream's room goes to the most urgent of them in
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -25,7 +25,8 @@
     , m_hooks(std::move(hooks))
     , m_admission(options.admission)
     , m_offers(options.offers)
-    , m_placement(options.placement, m_offers, m_hooks.random)
+    , m_placement(options.placement, m_hooks.random)
+    , m_demand(options.demand)
 {
 }
 
@@ -108,6 +109,10 @@
 void JobTable::queue(TimePoint now, Job& job, size_t step, size_t index)
 {
     Task& task = job.steps[step].tasks[index];
+    // The first that waits is made known at once.
+    if (m_waitingServices.insert(job.request.route.service()).second)
+        m_sweepDue = now;
+    m_lineGrew = true;
     task.waiting = true;
     task.queuedAt = task.queuedAt.value_or(now);
     const StepTask key { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
@@ -136,7 +141,6 @@
     const Duration left = job.received + m_admission.objective(job.request) - now;
     const Duration usefulLeft = job.received + m_admission.usefulFor(job.request) - now;
     PlacementWish wish;
-    wish.service = job.request.route.service();
     wish.step = &demand;
     wish.avoid = &job.steps[step].tasks[index].avoid;
     wish.sharing = &job.steps[step].sharing;
@@ -147,8 +151,10 @@
 // Places what waits, in the order of the line, where there is room.
 void JobTable::serveLine(TimePoint now)
 {
+    m_lineGrew = false;
     // The least that found no room, by service: what needs as much or more is not tried again.
     std::map<std::string, int64_t> failed;
+    std::map<std::string, std::vector<UsableAgent>> agents;
     for (auto it = m_line.tasks().begin(); it != m_line.tasks().end();) {
         const LinePosition at = it->first;
         const WaitingTask task = it->second;
@@ -156,8 +162,11 @@
         const auto known = failed.find(task.service);
         if (known != failed.end() && task.need.coresMilli >= known->second)
             continue;
+        const auto [usable, first] = agents.try_emplace(task.service);
+        if (first)
+            usable->second = m_offers.usable(now, task.service);
         Job& job = m_jobs.find(task.task.job)->second;
-        const auto placed = m_placement.place(now, wish(now, job, at.step, at.index));
+        const auto placed = m_placement.place(usable->second, wish(now, job, at.step, at.index));
         if (placed)
             send(now, job, at.step, at.index, *placed, 0);
         else
@@ -165,6 +174,27 @@
     }
 }
 
+// Places what waits on one agent, the only one whose room has changed.
+void JobTable::serveAgent(TimePoint now, const AgentId& agent)
+{
+    const AgentView* view = m_offers.find(agent);
+    if (view == nullptr || !m_offers.isUsable(now, *view))
+        return;
+    for (auto it = m_line.tasks().begin(); it != m_line.tasks().end();) {
+        const LinePosition at = it->first;
+        const WaitingTask& task = it->second;
+        ++it;
+        if (task.service != view->offer.service() || !task.need.fitsInto(view->free))
+            continue;
+        Job& job = m_jobs.find(task.task.job)->second;
+        const PlacementWish asked = wish(now, job, at.step, at.index);
+        if (asked.avoid->contains(agent))
+            continue;
+        if (const auto placed = m_placement.place({ { &agent, view } }, asked))
+            send(now, job, at.step, at.index, *placed, 0);
+    }
+}
+
 // A grant goes to the first task in the line that fits it.
 void JobTable::useGrant(TimePoint now, const AgentId& agent, const wire::Grant& grant)
 {
@@ -235,8 +265,10 @@
     }
     for (const auto& it : message.grants())
         useGrant(now, id, it);
-    if (!m_line.empty())
+    if (m_lineGrew)
         serveLine(now);
+    else
+        serveAgent(now, id);
 }
 
 void JobTable::release(Task& task)
@@ -452,7 +484,7 @@
                 continue;
             const Duration estimate = std::chrono::milliseconds(job.request.job.steps[step].estimateMs);
             const Duration rest = estimate * view->offer.slowness_percent() / 100 - (now - task.startedAt);
-            const auto placed = m_placement.place(now, wish(now, job, step, index));
+            const auto placed = m_placement.place(m_offers.usable(now, view->offer.service()), wish(now, job, step, index));
             if (!placed || placed->agent == task.agent || rest < placed->run + m_options.moveGain)
                 continue;
             Event(Level::Info, "attempt_moved")
@@ -567,6 +599,8 @@
     }
     sweep();
     m_offers.expire(now);
+    if (!m_line.empty())
+        serveLine(now);
 }
 
 size_t JobTable::unanswered() const
@@ -585,37 +619,49 @@
     return std::clamp(even, m_options.shortestOfferInterval, m_options.longestOfferInterval);
 }
 
-void JobTable::flush(TimePoint now)
+// Looks at all agents for echoes, changed intervals and demand that are due.
+void JobTable::addDueMessages(TimePoint now)
 {
+    m_sweepDue = now + m_options.sweepInterval;
     const auto interval = static_cast<uint32_t>(toMs(offerInterval()));
-    std::map<std::string, wire::Demand> demands;
-    for (auto& it : m_offers.agents()) {
-        AgentView& view = it.second;
-        const auto [demand, added] = demands.try_emplace(view.offer.service());
-        if (added)
-            demand->second = m_line.demand(now, view.offer.service());
-        const bool waits = demand->second.tasks() > 0;
-        const bool renews = view.demandTold && now - view.demandSent >= m_options.demandInterval;
-        const bool demandDue = waits != view.demandTold || (waits && renews);
-        const auto found = m_outbox.find(it.first);
-        const bool spaced = (view.replyDue || view.toldInterval != interval) && now - view.sent >= m_options.replySpacing;
-        if (found == m_outbox.end() && !spaced && !demandDue)
-            continue;
-        wire::EntryToUpstream message = found == m_outbox.end() ? wire::EntryToUpstream() : std::move(found->second);
-        if (message.starts_size() > 0)
-            message.set_sequence(++view.lastSequence);
-        message.set_seen_clock_us(view.seenClockUs);
-        message.set_acked_reports(view.ackedReports);
-        message.set_offer_interval_ms(interval);
-        view.toldInterval = interval;
-        if (waits)
-            *message.mutable_demand() = demand->second;
-        view.demandSent = now;
-        view.demandTold = waits;
-        view.sent = now;
-        view.replyDue = false;
-        m_hooks.send(it.first, std::move(message));
+    for (const auto& it : m_offers.agents()) {
+        const AgentView& view = it.second;
+        if ((view.replyDue || view.toldInterval != interval) && now - view.sent >= m_options.replySpacing)
+            outbox(it.first);
     }
+    for (auto it = m_waitingServices.begin(); it != m_waitingServices.end();) {
+        const wire::Demand waiting = m_line.demand(now, *it);
+        for (const auto& agent : m_demand.update(now, m_offers, *it, waiting))
+            outbox(agent);
+        it = waiting.tasks() == 0 ? m_waitingServices.erase(it) : std::next(it);
+    }
+}
+
+void JobTable::transmit(TimePoint now, const AgentId& id, wire::EntryToUpstream message)
+{
+    AgentView* view = m_offers.find(id);
+    if (view == nullptr)
+        return;
+    if (message.starts_size() > 0)
+        message.set_sequence(++view->lastSequence);
+    message.set_seen_clock_us(view->seenClockUs);
+    message.set_acked_reports(view->ackedReports);
+    view->toldInterval = static_cast<uint32_t>(toMs(offerInterval()));
+    message.set_offer_interval_ms(view->toldInterval);
+    wire::Demand demand = m_demand.told(now, *view);
+    if (demand.tasks() > 0)
+        *message.mutable_demand() = std::move(demand);
+    view->sent = now;
+    view->replyDue = false;
+    m_hooks.send(id, std::move(message));
+}
+
+void JobTable::flush(TimePoint now)
+{
+    if (now >= m_sweepDue)
+        addDueMessages(now);
+    for (auto& it : m_outbox)
+        transmit(now, it.first, std::move(it.second));
     m_outbox.clear();
 }
 
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -12,6 +12,7 @@
 #include <direct.pb.h>
 
 #include "fescuegw/direct/Admission.h"
+#include "fescuegw/direct/DemandSpread.h"
 #include "fescuegw/direct/Job.h"
 #include "fescuegw/direct/OfferBook.h"
 #include "fescuegw/direct/Placement.h"
@@ -37,8 +38,9 @@
     Duration longestOfferInterval { std::chrono::milliseconds(250) };
     // Time between two looks at jobs for what time alone changes.
     Duration tickInterval { std::chrono::milliseconds(10) };
-    // Agents are told this often what waits here, while anything does.
-    Duration demandInterval { std::chrono::milliseconds(50) };
+    DemandSpreadOptions demand;
+    // Time between two looks at agents for messages that are due by time alone.
+    Duration sweepInterval { std::chrono::milliseconds(10) };
     // A start that reaches its agent later than this is refused there: room and lines have changed since.
     Duration startLife { std::chrono::milliseconds(250) };
     // A run on an upstream that takes this many percent of the estimates is moved when another would end it sooner by
@@ -164,6 +166,7 @@
     LinePosition position(const Job&, size_t step, size_t index) const;
     PlacementWish wish(TimePoint now, const Job&, size_t step, size_t index) const;
     void serveLine(TimePoint now);
+    void serveAgent(TimePoint now, const AgentId&);
     void useGrant(TimePoint now, const AgentId&, const wire::Grant&);
     void send(TimePoint now, Job&, size_t step, size_t index, const Placed&, uint64_t grant);
     void moveSlow(TimePoint now, Job&);
@@ -181,6 +184,8 @@
     void loseAgent(TimePoint now, const AgentId&, const std::string& reason);
     Duration offerInterval() const;
     wire::EntryToUpstream& outbox(const AgentId&);
+    void addDueMessages(TimePoint now);
+    void transmit(TimePoint now, const AgentId&, wire::EntryToUpstream);
     void sweep();
 
     JobTableOptions m_options;
@@ -188,11 +193,17 @@
     Admission m_admission;
     OfferBook m_offers;
     Placement m_placement;
+    DemandSpread m_demand;
     WaitingLine m_line;
     Jobs m_jobs;
     uint64_t m_lastNumber = 0;
     std::optional<TimePoint> m_drainUntil;
     TimePoint m_tickDue;
+    TimePoint m_sweepDue;
+    // Tasks were added to the line since it was last served from all agents.
+    bool m_lineGrew = false;
+    // Services of which tasks wait, or waited at the last sweep.
+    std::set<std::string> m_waitingServices;
     std::map<AgentId, wire::EntryToUpstream> m_outbox;
     JobCounters m_counters;
 };
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -24,6 +24,7 @@
                  for (const uint64_t it : message.declined_grants())
                      declined.push_back(it);
                  demand[agent] = message.demand();
+                 ++messages;
                  acked[agent] = message.acked_reports();
              },
                 [](uint64_t) { return 0; }, {} })
@@ -100,6 +101,7 @@
 
     TimePoint now { std::chrono::hours(1) };
     uint64_t exchange = 0;
+    size_t messages = 0;
     std::vector<std::pair<AgentId, wire::StartTask>> starts;
     std::vector<std::pair<AgentId, wire::AttemptKey>> stops;
     std::vector<uint64_t> declined;
@@ -371,3 +373,65 @@
     entry.pass(200);
     cr_assert_eq(entry.acked[a1], 50);
 }
+
+// Pattern: a burst beyond the capacity of 75 upstreams. Telling every agent of what waits would be 1,500 messages a second of
+// one entry; a few at a time are told, each of them in its turn, and all that were told hear when nothing waits any more.
+Test(JobTable, aLongLineIsToldToAFewAgentsAtATime)
+{
+    constexpr uint32_t agents = 75;
+    Entry entry;
+    const auto agent = [](uint32_t n) { return AgentId { "agent" + std::to_string(n), 7 }; };
+    for (uint32_t n = 0; n < agents; ++n)
+        entry.offer(agent(n), 0);
+    // All are told how often to report.
+    entry.pass(200);
+    for (uint32_t n = 0; n < agents; ++n)
+        entry.offer(agent(n), 0);
+    entry.messages = 0;
+    for (int n = 0; n < 200; ++n)
+        entry.submit("j" + std::to_string(n), 2, 2, 900);
+    for (int n = 0; n < 50; ++n) {
+        entry.pass(10);
+        for (uint32_t it = 0; it < agents; ++it)
+            entry.offer(agent(it), 0);
+    }
+    cr_assert_gt(entry.table.waiting(), 300U);
+    // Half a second: ten rounds of 16 agents; acknowledgements of agents that have nothing of this entry aren't due.
+    cr_assert_leq(entry.messages, 176U);
+    cr_assert_eq(entry.demand.size(), agents, "every agent has its turn");
+    for (int n = 0; n < 200; ++n)
+        entry.table.abandon(entry.now, static_cast<uint64_t>(n) + 1);
+    for (uint32_t it = 0; it < agents; ++it)
+        entry.demand[agent(it)].Clear();
+    entry.messages = 0;
+    entry.pass(10);
+    cr_assert_leq(entry.messages, 48U);
+    for (const auto& it : entry.demand)
+        cr_assert_eq(it.second.tasks(), 0);
+}
+
+// All that is asked of the agents of one round is a small multiple of what waits.
+Test(DemandSpread, asksNoAgentForMoreThanItsShare)
+{
+    OfferBook book;
+    const TimePoint now { std::chrono::hours(1) };
+    for (int n = 0; n < 75; ++n) {
+        wire::UpstreamToEntry message;
+        message.set_agent("agent" + std::to_string(n));
+        message.mutable_offer()->set_service("s");
+        book.onMessage(now, message);
+    }
+    for (uint32_t tasks = 1; tasks < 200; ++tasks) {
+        DemandSpread spread;
+        wire::Demand waiting;
+        waiting.set_tasks(tasks);
+        uint64_t asked = 0;
+        for (const auto& it : spread.update(now, book, "s", waiting)) {
+            const uint32_t share = spread.told(now, *book.find(it)).tasks();
+            cr_assert_leq(share, tasks);
+            asked += share;
+        }
+        cr_assert_geq(asked, tasks);
+        cr_assert_leq(asked, std::max<uint64_t>(8, 4 * tasks + 16));
+    }
+}
--- a/fescuegw/direct/OfferBook.cpp
+++ b/fescuegw/direct/OfferBook.cpp
@@ -49,11 +49,12 @@
     view.free -= need;
 }
 
-std::vector<std::pair<const AgentId*, const AgentView*>> OfferBook::usable(TimePoint now, const std::string& service) const
+std::vector<UsableAgent> OfferBook::usable(TimePoint now, const std::string& service) const
 {
-    std::vector<std::pair<const AgentId*, const AgentView*>> list;
+    std::vector<UsableAgent> list;
+    list.reserve(m_agents.size());
     for (const auto& it : m_agents)
-        if (it.second.offer.accepting() && it.second.offer.service() == service && now - it.second.heard <= m_options.offerAge)
+        if (isUsable(now, it.second) && it.second.offer.service() == service)
             list.emplace_back(&it.first, &it.second);
     return list;
 }
--- a/fescuegw/direct/OfferBook.h
+++ b/fescuegw/direct/OfferBook.h
@@ -34,13 +34,15 @@
     uint32_t attempts = 0;
     uint64_t ackedReports = 0;
     bool replyDue = false;
-    // When the agent was last told what waits here, and whether that was anything.
+    // Whether and when the agent was last told that tasks wait here.
     TimePoint demandSent;
     bool demandTold = false;
     // How often the agent was told to report, in milliseconds.
     uint32_t toldInterval = 0;
 };
 
+using UsableAgent = std::pair<const AgentId*, const AgentView*>;
+
 struct OfferBookOptions {
     // An offer older than this is not relied on: several intervals of the agents' reports.
     Duration offerAge { std::chrono::milliseconds(500) };
@@ -60,7 +62,11 @@
     static void onSent(AgentView&, const Resources& need, bool granted);
 
     // Returns the agents of `service` that can be relied on now.
-    std::vector<std::pair<const AgentId*, const AgentView*>> usable(TimePoint now, const std::string& service) const;
+    std::vector<UsableAgent> usable(TimePoint now, const std::string& service) const;
+    bool isUsable(TimePoint now, const AgentView& view) const
+    {
+        return view.offer.accepting() && now - view.heard <= m_options.offerAge;
+    }
 
     AgentView* find(const AgentId&);
     std::map<AgentId, AgentView>& agents() { return m_agents; }
--- a/fescuegw/direct/Placement.cpp
+++ b/fescuegw/direct/Placement.cpp
@@ -29,9 +29,8 @@
 
 } // namespace
 
-Placement::Placement(PlacementOptions options, const OfferBook& book, std::function<uint64_t(uint64_t)> random)
+Placement::Placement(PlacementOptions options, std::function<uint64_t(uint64_t)> random)
     : m_options(options)
-    , m_book(book)
     , m_random(std::move(random))
 {
 }
@@ -49,9 +48,8 @@
     return remote ? run * m_options.remotePercent / 100 : run;
 }
 
-std::optional<Placed> Placement::place(TimePoint now, const PlacementWish& wish) const
+std::optional<Placed> Placement::place(const std::vector<UsableAgent>& agents, const PlacementWish& wish) const
 {
-    const auto agents = m_book.usable(now, wish.service);
     std::optional<Placed> best;
     Duration bestCost {};
     int64_t bestRoom = 0;
--- a/fescuegw/direct/Placement.h
+++ b/fescuegw/direct/Placement.h
@@ -22,7 +22,6 @@
 
 // What is asked of an upstream for one task.
 struct PlacementWish {
-    std::string service;
     const StepDemand* step = nullptr;
     // Agents on which it has failed: taken only when there is no other.
     const std::set<AgentId>* avoid = nullptr;
@@ -45,17 +44,16 @@
 class Placement {
 public:
     // `random` returns a number below its argument.
-    Placement(PlacementOptions, const OfferBook&, std::function<uint64_t(uint64_t)> random);
+    Placement(PlacementOptions, std::function<uint64_t(uint64_t)> random);
 
-    // Returns where a task is expected to finish first, or nothing when no agent that may run it has room.
-    std::optional<Placed> place(TimePoint now, const PlacementWish&) const;
+    // Returns on which of `agents` a task is expected to finish first, or nothing when none that may run it has room.
+    std::optional<Placed> place(const std::vector<UsableAgent>& agents, const PlacementWish&) const;
 
     // Returns the run time expected on an agent, or nothing when it may not run the task at all. Room isn't looked at.
     std::optional<Duration> expectedRun(const AgentId&, const AgentView&, const PlacementWish&) const;
 
 private:
     PlacementOptions m_options;
-    const OfferBook& m_book;
     std::function<uint64_t(uint64_t)> m_random;
 };
 
