Agents of a large fleet report as rarely as their entries want; a virtual-time model of load found that they did not

Cause: the time between offers was worked out in whole seconds (seconds(75) / 400 is 0), so that it stayed at its least: each of 75 agents reported every 40 ms to each entry, 1,875 messages a second of an entry that is meant to take 400. Found by: the new model (fescuegw/model), which runs JobTable, RunTable and EntryLinks in virtual time between modelled callers and upstreams; 26,000 messages a second where 9,000 were expected. EntryLinks (what an agent tells each entry) is out of ArbiterServer, apart from I/O, so that the model can run it.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -17,16 +17,14 @@
     constexpr Duration lonelyViewInterval = std::chrono::milliseconds(150);
     // After the last new link, further entries are expected for this long.
     constexpr Duration gathering = std::chrono::milliseconds(3000);
-    // Reports without acknowledgement are sent again after this.
-    constexpr Duration reportRepeat = std::chrono::milliseconds(500);
-    // An entry that is no longer listed may be cut off from the state group alone: its link stays while it speaks.
-    constexpr Duration unlistedMemory = std::chrono::seconds(10);
     // A silent link is opened anew well within the entries' lease.
     constexpr Duration silenceLimit = std::chrono::milliseconds(1000);
     // From sending a hold that failed to the next one: an upstream that is down refuses connections at once.
     constexpr Duration holdRetry = std::chrono::milliseconds(30);
 
-    std::string entryLink(const std::string& address) { return "entry-" + address; }
+    constexpr std::string_view entryPrefix = "entry-";
+
+    std::string entryLink(const std::string& address) { return std::string(entryPrefix) + address; }
 
 } // namespace
 
@@ -50,8 +48,12 @@
               [this](uint64_t serial, const StartOrder& order) { m_upstream->start(serial, order); },
               [this](const StopOrder& order) { m_upstream->stop(order); },
               [this](const std::string& entry, const wire::AttemptReport& it) { report(entry, it); },
-              [this](const std::string& entry, const wire::Grant& it) { grant(entry, it); },
+              [this](const std::string& entry, const wire::Grant& it) {
+                  m_grants.Increment();
+                  m_links.grant(entry, it);
+              },
           })
+    , m_links(EntryLinksOptions { .offerInterval = m_settings.offerInterval })
     , m_done(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "done"))
     , m_failed(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "failed"))
     , m_lost(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "lost"))
@@ -143,32 +145,9 @@
 
 void ArbiterServer::onView(TimePoint now, const wire::View& view)
 {
-    for (auto& it : m_links)
-        it.second.listed = false;
-    for (const auto& it : view.entries()) {
-        const std::string name = entryLink(it.address());
-        const auto [link, added] = m_links.try_emplace(name);
-        link->second.listed = true;
-        if (!added)
-            continue;
-        link->second.address = it.address();
-        link->second.heard = now;
+    for (const auto& it : m_links.onView(now, view)) {
         m_lastLinked = now;
-        m_hub->connect(name, it.address());
-        Event(Level::Info, "entry_linked").with("entry", it.entry()).with("address", it.address());
-    }
-}
-
-void ArbiterServer::expireLinks(TimePoint now)
-{
-    for (auto it = m_links.begin(); it != m_links.end();) {
-        if (it->second.listed || now - it->second.heard < unlistedMemory) {
-            ++it;
-            continue;
-        }
-        Event(Level::Info, "entry_unlinked").with("entry", it->second.entry).with("address", it->second.address);
-        m_hub->disconnect(it->first);
-        it = m_links.erase(it);
+        m_hub->connect(entryLink(it.address()), it.address());
     }
 }
 
@@ -177,32 +156,11 @@
     if (m_state->onMessage(now, peer, content))
         return;
     wire::EntryToUpstream message;
-    const auto link = m_links.find(peer.name);
-    if (link == m_links.end() || !message.ParseFromString(content)) {
+    const bool fromEntry = peer.name.starts_with(entryPrefix) && message.ParseFromString(content);
+    if (!fromEntry || !m_links.onMessage(now, peer.name.substr(entryPrefix.size()), message)) {
         Event(Level::Warn, "malformed_message").with("peer", peer.name);
         return;
     }
-    onEntryMessage(now, link->second, message);
-}
-
-void ArbiterServer::onEntryMessage(TimePoint now, EntryLink& link, const wire::EntryToUpstream& message)
-{
-    link.heard = now;
-    if (link.entry != message.entry()) {
-        // Another process at this address: nobody waits for the reports to the one before.
-        Event(Level::Info, "entry_known").with("entry", message.entry()).with("before", link.entry);
-        link.entry = message.entry();
-        link.reports.clear();
-        link.firstReport = 1;
-        link.seenSequence = 0;
-    }
-    link.seenSequence = std::max(link.seenSequence, message.sequence());
-    while (!link.reports.empty() && link.firstReport <= message.acked_reports()) {
-        link.reports.erase(link.reports.begin());
-        ++link.firstReport;
-    }
-    if (message.offer_interval_ms() > 0)
-        link.offerInterval = std::chrono::milliseconds(message.offer_interval_ms());
     m_table.onEntry(now, message);
 }
 
@@ -225,53 +183,7 @@
     default:
         break;
     }
-    for (auto& it : m_links) {
-        if (it.second.entry != entry)
-            continue;
-        it.second.reports.push_back(report);
-        // That a task has started may wait for the next message: half of all messages would tell nothing else.
-        it.second.urgent = it.second.urgent || report.state() != wire::ATTEMPT_STARTED;
-    }
-}
-
-void ArbiterServer::grant(const std::string& entry, const wire::Grant& grant)
-{
-    m_grants.Increment();
-    for (auto& it : m_links) {
-        if (it.second.entry != entry)
-            continue;
-        it.second.grants.push_back(grant);
-        it.second.urgent = true;
-    }
-}
-
-void ArbiterServer::sendOffers(TimePoint now)
-{
-    std::optional<wire::UpstreamOffer> offer;
-    for (auto& it : m_links) {
-        EntryLink& link = it.second;
-        const bool repeat = !link.reports.empty() && now >= link.resendDue;
-        if (!link.urgent && !repeat && now < link.offerDue)
-            continue;
-        if (!offer)
-            offer = m_table.offer(now);
-        wire::UpstreamToEntry message;
-        message.set_agent(m_identity.name);
-        message.set_incarnation(m_identity.incarnation);
-        message.set_clock_us(toMicros(now));
-        message.set_seen_sequence(link.seenSequence);
-        *message.mutable_offer() = *offer;
-        message.set_first_report(link.firstReport);
-        for (const auto& report : link.reports)
-            *message.add_reports() = report;
-        for (const auto& grant : link.grants)
-            *message.add_grants() = grant;
-        link.grants.clear();
-        link.urgent = false;
-        link.offerDue = now + (link.offerInterval > Duration() ? link.offerInterval : m_settings.offerInterval);
-        link.resendDue = now + reportRepeat;
-        m_hub->send({ net::Peer::Direction::Connected, it.first }, message.SerializeAsString());
-    }
+    m_links.report(entry, report);
 }
 
 bool ArbiterServer::drained(TimePoint now) const
@@ -282,8 +194,7 @@
         Event(Level::Warn, "drain_abandoned").with("runs", m_table.running());
         return true;
     }
-    const bool reported = std::all_of(m_links.begin(), m_links.end(), [](const auto& it) { return it.second.reports.empty(); });
-    return m_table.running() == 0 && reported;
+    return m_table.running() == 0 && m_links.allAcknowledged();
 }
 
 void ArbiterServer::onBatchEnd(TimePoint now)
@@ -292,8 +203,13 @@
     const bool gathers = m_links.empty() || now - m_lastLinked < gathering;
     m_state->client().setHeartbeatInterval(gathers ? lonelyViewInterval : viewInterval);
     m_state->client().flush(now, wire::EntryInfo());
-    expireLinks(now);
-    sendOffers(now);
+    for (const auto& it : m_links.expire(now))
+        m_hub->disconnect(entryLink(it));
+    m_links.send(
+        now, m_identity, [&] { return m_table.offer(now); },
+        [this](const std::string& address, const wire::UpstreamToEntry& it) {
+            m_hub->send({ net::Peer::Direction::Connected, entryLink(address) }, it.SerializeAsString());
+        });
     if (m_holdDue && now >= *m_holdDue) {
         m_holdDue = std::nullopt;
         m_upstream->hold(now, m_table.nextHold(now));
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -10,6 +10,7 @@
 
 #include <control.pb.h>
 
+#include "fescuegw/arbiter/EntryLinks.h"
 #include "fescuegw/arbiter/RunTable.h"
 #include "fescuegw/arbiter/UpstreamLink.h"
 #include "fescuegw/daemon/Daemon.h"
@@ -52,32 +53,10 @@
     bool ready() const { return m_ready; }
 
 private:
-    // Reports to one entry process that it has not acknowledged.
-    struct EntryLink {
-        std::string address;
-        // Identity of the process that last spoke on this link.
-        std::string entry;
-        bool listed = true;
-        TimePoint heard;
-        TimePoint offerDue;
-        // As the entry wants it; the settings' one until it has said so.
-        Duration offerInterval {};
-        TimePoint resendDue;
-        uint64_t seenSequence = 0;
-        uint64_t firstReport = 1;
-        std::vector<wire::AttemptReport> reports;
-        std::vector<wire::Grant> grants;
-        bool urgent = false;
-    };
-
     void onMessage(TimePoint now, const net::Peer&, const std::string&);
-    void onEntryMessage(TimePoint now, EntryLink&, const wire::EntryToUpstream&);
     void onBatchEnd(TimePoint now);
     void onView(TimePoint now, const wire::View&);
-    void expireLinks(TimePoint now);
     void report(const std::string& entry, const wire::AttemptReport&);
-    void grant(const std::string& entry, const wire::Grant&);
-    void sendOffers(TimePoint now);
     bool drained(TimePoint now) const;
 
     ArbiterSettings m_settings;
@@ -87,8 +66,7 @@
     std::unique_ptr<net::Hub> m_hub;
     std::unique_ptr<group::GroupLink> m_state;
     std::unique_ptr<UpstreamLink> m_upstream;
-    // Links to entries, by name.
-    std::map<std::string, EntryLink> m_links;
+    EntryLinks m_links;
     TimePoint m_lastLinked;
     bool m_draining = false;
     TimePoint m_drainUntil;
--- /dev/null
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -0,0 +1,128 @@
+#include "fescuegw/arbiter/EntryLinks.h"
+
+#include <algorithm>
+
+#include "fescuegw/logging/Log.h"
+
+namespace fescuegw::arbiter {
+
+using logging::Event;
+using logging::Level;
+
+std::vector<wire::EntryInfo> EntryLinks::onView(TimePoint now, const wire::View& view)
+{
+    std::vector<wire::EntryInfo> found;
+    for (auto& it : m_links)
+        it.second.listed = false;
+    for (const auto& it : view.entries()) {
+        const auto [link, added] = m_links.try_emplace(it.address());
+        link->second.listed = true;
+        if (!added)
+            continue;
+        link->second.heard = now;
+        found.push_back(it);
+        Event(Level::Info, "entry_linked").with("entry", it.entry()).with("address", it.address());
+    }
+    return found;
+}
+
+bool EntryLinks::onMessage(TimePoint now, const std::string& address, const wire::EntryToUpstream& message)
+{
+    const auto found = m_links.find(address);
+    if (found == m_links.end())
+        return false;
+    Link& link = found->second;
+    link.heard = now;
+    if (link.entry != message.entry()) {
+        // Another process at this address: nobody waits for the reports to the one before.
+        Event(Level::Info, "entry_known").with("entry", message.entry()).with("before", link.entry);
+        link.entry = message.entry();
+        link.reports.clear();
+        link.firstReport = 1;
+        link.seenSequence = 0;
+    }
+    link.seenSequence = std::max(link.seenSequence, message.sequence());
+    const uint64_t acknowledged = std::max(message.acked_reports() + 1, link.firstReport) - link.firstReport;
+    const auto n = static_cast<std::ptrdiff_t>(std::min<uint64_t>(acknowledged, link.reports.size()));
+    link.reports.erase(link.reports.begin(), link.reports.begin() + n);
+    link.firstReport += static_cast<uint64_t>(n);
+    if (message.offer_interval_ms() > 0)
+        link.offerInterval = std::chrono::milliseconds(message.offer_interval_ms());
+    return true;
+}
+
+EntryLinks::Link* EntryLinks::linkOf(const std::string& entry)
+{
+    const auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& link) { return link.second.entry == entry; });
+    return it == m_links.end() ? nullptr : &it->second;
+}
+
+void EntryLinks::report(const std::string& entry, const wire::AttemptReport& report)
+{
+    Link* link = linkOf(entry);
+    if (link == nullptr)
+        return;
+    link->reports.push_back(report);
+    // That a task has started may wait for the next message: half of all messages would tell nothing else.
+    link->urgent = link->urgent || report.state() != wire::ATTEMPT_STARTED;
+}
+
+void EntryLinks::grant(const std::string& entry, const wire::Grant& grant)
+{
+    Link* link = linkOf(entry);
+    if (link == nullptr)
+        return;
+    link->grants.push_back(grant);
+    link->urgent = true;
+}
+
+void EntryLinks::send(TimePoint now, const AgentId& self, const std::function<wire::UpstreamOffer()>& offer, const SendHook& send)
+{
+    std::optional<wire::UpstreamOffer> current;
+    for (auto& it : m_links) {
+        Link& link = it.second;
+        const bool repeat = !link.reports.empty() && now >= link.resendDue;
+        if (!link.urgent && !repeat && now < link.offerDue)
+            continue;
+        if (!current)
+            current = offer();
+        wire::UpstreamToEntry message;
+        message.set_agent(self.name);
+        message.set_incarnation(self.incarnation);
+        message.set_clock_us(toMicros(now));
+        message.set_seen_sequence(link.seenSequence);
+        *message.mutable_offer() = *current;
+        message.set_first_report(link.firstReport);
+        for (const auto& report : link.reports)
+            *message.add_reports() = report;
+        for (const auto& grant : link.grants)
+            *message.add_grants() = grant;
+        link.grants.clear();
+        link.urgent = false;
+        link.offerDue = now + (link.offerInterval > Duration() ? link.offerInterval : m_options.offerInterval);
+        link.resendDue = now + m_options.reportRepeat;
+        send(it.first, message);
+    }
+}
+
+std::vector<std::string> EntryLinks::expire(TimePoint now)
+{
+    std::vector<std::string> gone;
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (it->second.listed || now - it->second.heard < m_options.unlistedMemory) {
+            ++it;
+            continue;
+        }
+        Event(Level::Info, "entry_unlinked").with("entry", it->second.entry).with("address", it->first);
+        gone.push_back(it->first);
+        it = m_links.erase(it);
+    }
+    return gone;
+}
+
+bool EntryLinks::allAcknowledged() const
+{
+    return std::all_of(m_links.begin(), m_links.end(), [](const auto& it) { return it.second.reports.empty(); });
+}
+
+} // namespace fescuegw::arbiter
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -615,7 +615,7 @@
 
 Duration JobTable::offerInterval() const
 {
-    const Duration even = std::chrono::seconds(m_offers.agents().size()) / m_options.offersPerSecond;
+    const Duration even = Duration(std::chrono::seconds(m_offers.agents().size())) / m_options.offersPerSecond;
     return std::clamp(even, m_options.shortestOfferInterval, m_options.longestOfferInterval);
 }
 
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -25,6 +25,7 @@
                      declined.push_back(it);
                  demand[agent] = message.demand();
                  ++messages;
+                 offerInterval[agent] = message.offer_interval_ms();
                  acked[agent] = message.acked_reports();
              },
                 [](uint64_t) { return 0; }, {} })
@@ -106,6 +107,7 @@
     std::vector<std::pair<AgentId, wire::AttemptKey>> stops;
     std::vector<uint64_t> declined;
     std::map<AgentId, wire::Demand> demand;
+    std::map<AgentId, uint32_t> offerInterval;
     std::map<AgentId, uint64_t> reports;
     std::map<AgentId, uint64_t> acked;
     std::map<AgentId, uint32_t> slowness;
@@ -435,3 +437,18 @@
         cr_assert_leq(asked, std::max<uint64_t>(8, 4 * tasks + 16));
     }
 }
+
+// Pattern: a large fleet at rest. What offers cost an entry does not grow with the number of agents.
+Test(JobTable, agentsReportMoreRarelyTheMoreThereAre)
+{
+    const auto told = [](uint32_t agents) {
+        Entry entry;
+        for (uint32_t n = 0; n < agents; ++n)
+            entry.offer({ "agent" + std::to_string(n), 7 }, 64000);
+        entry.pass(200);
+        return entry.offerInterval[{ "agent0", 7 }];
+    };
+    cr_assert_eq(told(11), 40);
+    cr_assert_eq(told(75), 187);
+    cr_assert_eq(told(200), 250);
+}
--- /dev/null
+++ b/fescuegw/model/LoadModel.cpp
@@ -0,0 +1,383 @@
+#include "fescuegw/model/LoadModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescuegw::model {
+
+using namespace arbiter;
+using namespace direct;
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(10);
+    // One way between an agent and the upstream on its host.
+    constexpr Duration localDelay = std::chrono::microseconds(300);
+    // An agent takes an order, or a hold beyond its wait, as unanswered after this.
+    constexpr Duration answerTimeout = std::chrono::milliseconds(60);
+    constexpr Duration patience = std::chrono::seconds(8);
+    // Spread of run times and of the estimates' errors, and of tasks' needs, relative to their means.
+    constexpr double runSpread = 0.4;
+    constexpr double estimateError = 0.4;
+    constexpr double needSpread = 0.2;
+    constexpr int64_t meanNeedMilli = 6200;
+    constexpr int64_t coresMilli = 64000;
+    constexpr int64_t memoryMb = 262144;
+    constexpr uint64_t born = 1;
+
+    uint64_t toMs(TimePoint at)
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count());
+    }
+
+    Duration scaled(Duration duration, double factor)
+    {
+        return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+    }
+
+} // namespace
+
+ClassCount ModelCounters::total() const
+{
+    ClassCount sum;
+    for (const auto& it : classes) {
+        sum.asked += it.second.asked;
+        sum.inTime += it.second.inTime;
+        sum.late += it.second.late;
+        sum.refused += it.second.refused;
+        sum.failed += it.second.failed;
+    }
+    return sum;
+}
+
+struct LoadModel::Run {
+    StepTask task;
+    uint64_t number = 0;
+    int64_t need = 0;
+    TimePoint started;
+    TimePoint ends;
+};
+
+struct LoadModel::EntryHost {
+    std::string identity;
+    std::string address;
+    TimePoint busyUntil;
+    std::unique_ptr<JobTable> table;
+};
+
+struct LoadModel::AgentHost {
+    AgentId id;
+    size_t index = 0;
+    EntryLinks links;
+    std::unique_ptr<RunTable> table;
+    std::map<StepTask, int64_t> needs;
+    // The upstream.
+    std::vector<Run> runs;
+    std::vector<EndedRow> ended;
+    uint64_t lastEnd = 0;
+    double slowness = 1;
+    double lostAnswers = 0;
+    bool failing = false;
+    // The hold under way, or 0.
+    uint64_t holdNumber = 0;
+    uint64_t lastHold = 0;
+    TimePoint holdSent;
+    bool holdLost = false;
+};
+
+LoadModel::~LoadModel() = default;
+
+LoadModel::LoadModel(ModelOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    wire::View view;
+    for (size_t n = 0; n < m_options.entries; ++n) {
+        auto entry = std::make_unique<EntryHost>();
+        EntryHost& host = *entry;
+        host.identity = "entry" + std::to_string(n) + "/1";
+        host.address = "10.0.0." + std::to_string(n + 1) + ":1";
+        JobTableHooks hooks;
+        hooks.send = [this, &host](const AgentId& agent, const wire::EntryToUpstream& it) { sendToAgent(host, agent, it); };
+        hooks.random = [this](uint64_t bound) { return m_random() % bound; };
+        host.table = std::make_unique<JobTable>(JobTableOptions(), hooks);
+        wire::EntryInfo& info = *view.add_entries();
+        info.set_entry(host.identity);
+        info.set_address(host.address);
+        m_entries.push_back(std::move(entry));
+        after(
+            tickInterval * static_cast<int64_t>(n) / static_cast<int64_t>(m_options.entries), [this, &host] { tickEntry(host); });
+    }
+    for (size_t n = 0; n < m_options.agents; ++n) {
+        auto agent = std::make_unique<AgentHost>();
+        AgentHost& host = *agent;
+        host.id = { "agent" + std::to_string(n), 1 };
+        host.index = n;
+        RunTableHooks hooks;
+        hooks.start = [this, &host](uint64_t serial, const StartOrder& it) {
+            after(localDelay, [this, &host, serial, it] { startRun(host, serial, it); });
+        };
+        hooks.stop = [this, &host](const StopOrder& it) { after(localDelay, [this, &host, it] { stopRun(host, it); }); };
+        hooks.report = [&host](const std::string& entry, const wire::AttemptReport& it) { host.links.report(entry, it); };
+        hooks.grant = [&host](const std::string& entry, const wire::Grant& it) { host.links.grant(entry, it); };
+        host.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
+        host.links.onView(m_now, view);
+        // An entry speaks to an agent once it has heard of it, so the first message names every entry's process.
+        for (const auto& it : m_entries) {
+            wire::EntryToUpstream hello;
+            hello.set_entry(it->identity);
+            host.links.onMessage(m_now, it->address, hello);
+        }
+        m_agents.push_back(std::move(agent));
+        after(tickInterval * static_cast<int64_t>(n) / static_cast<int64_t>(m_options.agents), [this, &host] {
+            Announcement it;
+            it.instance = host.id.name;
+            it.bornMs = born;
+            it.sequence = 1;
+            it.service = "s";
+            it.capacity = { coresMilli, memoryMb, 0 };
+            host.table->onAnnouncement(m_now, it);
+            hold(host);
+            tickAgent(host);
+        });
+    }
+    after(std::chrono::milliseconds(500), [this] { arrive(); });
+}
+
+void LoadModel::after(Duration delay, std::function<void()> action)
+{
+    m_events.push(Event { m_now + delay, ++m_lastEvent, std::move(action) });
+}
+
+double LoadModel::uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+void LoadModel::run(Duration duration)
+{
+    const TimePoint until = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.action();
+    }
+    m_now = until;
+}
+
+void LoadModel::setSlowness(size_t agent, double factor) { m_agents[agent]->slowness = factor; }
+
+void LoadModel::setLostAnswers(size_t agent, double share) { m_agents[agent]->lostAnswers = share; }
+
+void LoadModel::setFailing(size_t agent, bool failing) { m_agents[agent]->failing = failing; }
+
+void LoadModel::resetCounters()
+{
+    m_counters = ModelCounters();
+    m_countFrom = m_lastJob + 1;
+}
+
+void LoadModel::arrive()
+{
+    double sum = 0;
+    for (const auto& it : m_options.classes)
+        sum += it.weight;
+    double drawn = uniform() * sum;
+    const JobClass* chosen = &m_options.classes.back();
+    for (const auto& it : m_options.classes) {
+        if (drawn < it.weight) {
+            chosen = &it;
+            break;
+        }
+        drawn -= it.weight;
+    }
+    EntryHost& entry = *m_entries[m_random() % m_entries.size()];
+    const JobClass job = *chosen;
+    after(m_options.linkDelay,
+        [this, &entry, job] { onEntry(entry, m_options.jobCost, [this, &entry, job] { submit(entry, job); }); });
+    const double gap = -std::log(1 - uniform()) / (m_options.jobsPerSecond * m_load);
+    after(std::chrono::microseconds(static_cast<int64_t>(gap * 1e6)), [this] { arrive(); });
+}
+
+void LoadModel::submit(EntryHost& entry, const JobClass& kind)
+{
+    const uint64_t number = ++m_lastJob;
+    std::lognormal_distribution<double> runs(-runSpread * runSpread / 2, runSpread);
+    std::lognormal_distribution<double> errors(-estimateError * estimateError / 2, estimateError);
+    const Duration work = scaled(kind.run, runs(m_random));
+    JobRequest request;
+    request.id = "job" + std::to_string(number);
+    request.route.set_service("s");
+    request.route.set_priority(kind.priority);
+    request.route.set_attempts(2);
+    request.route.set_stretch_percent(160);
+    request.route.set_latency_target_ms(60);
+    request.patience = patience;
+    request.exchange = number;
+    StepDemand step;
+    step.count = kind.tasks;
+    step.need = { meanNeedMilli, 64, 0 };
+    step.need.coresMilli = static_cast<int64_t>(meanNeedMilli * (1 + needSpread * (2 * uniform() - 1)));
+    const Duration estimate = scaled(work, errors(m_random));
+    step.estimateMs = static_cast<uint32_t>(std::max<int64_t>(estimate / std::chrono::milliseconds(1), 1));
+    request.job.specification = request.id;
+    request.job.steps = { step };
+    m_work[request.id] = work;
+    // The caller counts by what the work really takes.
+    const Duration objective = work * 8 / 5 + std::chrono::milliseconds(60);
+    const TimePoint sent = m_now - m_options.linkDelay;
+    entry.table->submit(m_now, request, [this, number, name = kind.name, sent, objective](const JobOutcome& outcome) {
+        m_work.erase("job" + std::to_string(number));
+        if (number < m_countFrom)
+            return;
+        ClassCount& count = m_counters.classes[name];
+        ++count.asked;
+        const Duration took = m_now + m_options.linkDelay - sent;
+        if (outcome.kind == JobOutcome::Kind::Completed)
+            ++(took <= objective ? count.inTime : count.late);
+        else
+            ++(outcome.kind == JobOutcome::Kind::NotRun ? count.refused : count.failed);
+    });
+}
+
+void LoadModel::onEntry(EntryHost& entry, Duration cost, std::function<void()> work)
+{
+    const TimePoint begin = std::max(m_now, entry.busyUntil);
+    entry.busyUntil = begin + scaled(cost, 1 / m_options.entryShare);
+    after(entry.busyUntil - m_now, [this, &entry, work = std::move(work)] {
+        work();
+        entry.table->flush(m_now);
+    });
+}
+
+void LoadModel::tickEntry(EntryHost& entry)
+{
+    onEntry(entry, Duration(), [this, &entry] { entry.table->tick(m_now); });
+    after(tickInterval, [this, &entry] { tickEntry(entry); });
+}
+
+void LoadModel::sendToAgent(EntryHost& entry, const AgentId& agent, const wire::EntryToUpstream& message)
+{
+    ++m_counters.entryMessages;
+    entry.busyUntil = std::max(m_now, entry.busyUntil) + scaled(m_options.messageCost, 1 / m_options.entryShare);
+    const auto host = std::find_if(m_agents.begin(), m_agents.end(), [&](const auto& it) { return it->id == agent; });
+    wire::EntryToUpstream sent = message;
+    sent.set_entry(entry.identity);
+    after(entry.busyUntil - m_now + m_options.linkDelay, [this, &entry, &to = **host, sent] {
+        to.links.onMessage(m_now, entry.address, sent);
+        for (const auto& it : sent.starts())
+            to.needs[{ it.key().job(), it.key().step(), it.key().index() }] = it.need().cores_milli();
+        to.table->onEntry(m_now, sent);
+        settle(to);
+    });
+}
+
+void LoadModel::tickAgent(AgentHost& agent)
+{
+    settle(agent);
+    after(2 * tickInterval, [this, &agent] { tickAgent(agent); });
+}
+
+// What an agent's process does after each batch of events.
+void LoadModel::settle(AgentHost& agent)
+{
+    agent.table->tick(m_now);
+    agent.links.send(
+        m_now, agent.id, [&] { return agent.table->offer(m_now); },
+        [this](const std::string& address, const wire::UpstreamToEntry& message) {
+            ++m_counters.agentMessages;
+            const auto to
+                = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return it->address == address; });
+            after(m_options.linkDelay, [this, &entry = **to, message] {
+                onEntry(entry, m_options.messageCost, [this, &entry, message] { entry.table->onAgent(m_now, message); });
+            });
+        });
+}
+
+void LoadModel::startRun(AgentHost& agent, uint64_t serial, const StartOrder& order)
+{
+    const auto work = m_work.find(order.task.job);
+    const Duration length = work == m_work.end() ? std::chrono::milliseconds(1) : work->second;
+    Run run;
+    run.task = order.task;
+    run.number = order.run;
+    run.need = agent.needs[order.task];
+    run.started = m_now;
+    run.ends = m_now + scaled(length, agent.failing ? 0.1 : agent.slowness);
+    ++m_counters.starts;
+    m_counters.doubled += ++m_running[order.task] > 1 ? 1 : 0;
+    agent.runs.push_back(run);
+    int64_t taken = 0;
+    for (const auto& it : agent.runs)
+        taken += it.need;
+    m_counters.overCapacity += taken > coresMilli ? 1 : 0;
+    const RunEnd how = agent.failing ? RunEnd::Failed : RunEnd::Done;
+    after(run.ends - m_now, [this, &agent, task = order.task, n = order.run, how] { endRun(agent, task, n, how); });
+    const bool lost = uniform() < agent.lostAnswers;
+    after(lost ? answerTimeout : localDelay, [this, &agent, serial, lost] {
+        if (lost)
+            agent.table->onStartReply(m_now, serial, StartVerdict::Unanswered, std::nullopt);
+        else
+            agent.table->onStartReply(m_now, serial, StartVerdict::Accepted, toMs(m_now));
+        settle(agent);
+    });
+}
+
+void LoadModel::stopRun(AgentHost& agent, const StopOrder& order) { endRun(agent, order.task, order.run, RunEnd::Stopped); }
+
+void LoadModel::endRun(AgentHost& agent, const StepTask& task, uint64_t run, RunEnd how)
+{
+    const auto it = std::find_if(agent.runs.begin(), agent.runs.end(),
+        [&](const Run& candidate) { return candidate.task == task && candidate.number == run; });
+    if (it == agent.runs.end())
+        return;
+    agent.runs.erase(it);
+    if (--m_running[task] == 0)
+        m_running.erase(task);
+    agent.ended.push_back({ ++agent.lastEnd, task, run, how });
+    if (agent.holdNumber != 0)
+        answerHold(agent, agent.holdNumber);
+}
+
+void LoadModel::hold(AgentHost& agent)
+{
+    const HoldOrder order = agent.table->nextHold(m_now);
+    std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
+    agent.holdNumber = ++agent.lastHold;
+    agent.holdSent = m_now;
+    agent.holdLost = uniform() < agent.lostAnswers;
+    const uint64_t number = agent.holdNumber;
+    if (!agent.ended.empty())
+        after(localDelay, [this, &agent, number] { answerHold(agent, number); });
+    after(order.wait + localDelay, [this, &agent, number] { answerHold(agent, number); });
+    after(order.wait + answerTimeout, [this, &agent, number] {
+        if (agent.lastHold != number || !agent.holdLost)
+            return;
+        agent.table->onHoldFailure(m_now, false);
+        hold(agent);
+        settle(agent);
+    });
+}
+
+void LoadModel::answerHold(AgentHost& agent, uint64_t number)
+{
+    if (agent.holdNumber != number)
+        return;
+    agent.holdNumber = 0;
+    if (agent.holdLost)
+        return;
+    Listing listing;
+    listing.bornMs = born;
+    listing.clockMs = toMs(m_now);
+    for (const auto& it : agent.runs) {
+        const double total = std::max<double>(1, static_cast<double>((it.ends - it.started).count()));
+        const auto percent = static_cast<uint32_t>(100 * static_cast<double>((m_now - it.started).count()) / total);
+        listing.running.push_back({ it.task, it.number, percent });
+    }
+    listing.ended = agent.ended;
+    after(localDelay, [this, &agent, listing, sent = agent.holdSent] {
+        agent.table->onListing(m_now, sent, listing);
+        hold(agent);
+        settle(agent);
+    });
+}
+
+} // namespace fescuegw::model
