Grants fit any task that waits, no more room is asked for than waits, and a repeated start does not run a task again

Demand now carries the largest need as well, and a grant is up to that. - Four times of what waited was asked for, so that room stood empty for a round trip and two turns of busy processes. New tests: model_test (7 patterns; rules: nothing over capacity, nothing twice), RunTable.aRepeatedStartThatIsSupersededHasRun (fails before: a second number is sent).

--- a/fescuegw/arbiter/GrantBook.cpp
+++ b/fescuegw/arbiter/GrantBook.cpp
@@ -35,14 +35,17 @@
         const auto it = mostUrgent(now, free);
         if (it == m_waiting.end())
             break;
-        const Resources room = wire::toResources(it->second.demand.need());
+        // By the time that the grant comes, the most urgent task may be another one: room for any of them, if there is as much.
+        const wire::Demand& demand = it->second.demand;
+        const Resources need = wire::toResources(demand.need());
+        const Resources room = componentMax(need, componentMin(free, wire::toResources(demand.largest_need())));
         free -= room;
         ++it->second.given;
         m_held[++m_lastId] = Held { room, now + m_options.life };
         Granted& added = granted.emplace_back();
         added.entry = it->first;
         added.grant.set_id(m_lastId);
-        *added.grant.mutable_room() = it->second.demand.need();
+        *added.grant.mutable_room() = wire::toWire(room);
     }
     return granted;
 }
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -227,6 +227,9 @@
         repeatOrGiveUp(now, it, "fenced");
         break;
     case StartVerdict::Superseded:
+        // An order without an answer may have been carried out, and its run have ended: the listing tells.
+        if (run.sends > 1)
+            break;
         // A run of an earlier agent or entry had this number.
         run.run = nextRunNumber(now, run.task, run.request.key().attempt());
         repeatOrGiveUp(now, it, "superseded");
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -33,7 +33,7 @@
     Duration idleHoldWait { std::chrono::milliseconds(200) };
     // The same while answers get lost: how late an end is seen is then this wait and the time after which an answer is given
     // up. For this long after a hold without an answer.
-    Duration doubtedHoldWait { std::chrono::milliseconds(30) };
+    Duration doubtedHoldWait { std::chrono::milliseconds(10) };
     Duration doubt { std::chrono::milliseconds(1000) };
     // A start without an answer is sent again this often under the same number.
     uint32_t startRepeats = 2;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -370,3 +370,19 @@
     }
     cr_assert_eq(agent.table.nextHold(agent.now).wait, usual);
 }
+
+// Pattern: lost answers. A start whose answer was lost has run to its end by the time that it is sent again.
+Test(RunTable, aRepeatedStartThatIsSupersededHasRun)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const uint64_t serial = agent.starts.back().first;
+    agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+    cr_assert_eq(agent.starts.size(), 2, "the same number is sent again");
+    agent.pass(ms(5));
+    agent.table.onStartReply(agent.now, serial, StartVerdict::Superseded, agent.clock());
+    cr_assert_eq(agent.starts.size(), 2, "not a second time under a new number");
+    cr_assert(agent.reports.empty(), "nothing is certain yet");
+    agent.list({}, { ended(1, "job", 1, RunEnd::Done) });
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE);
+}
--- a/fescuegw/base/Resources.h
+++ b/fescuegw/base/Resources.h
@@ -1,6 +1,7 @@
 // What a task needs and an upstream has.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -39,4 +40,15 @@
     friend bool operator==(const Resources&, const Resources&) = default;
 };
 
+// Return the smaller, and the larger, of each component.
+inline Resources componentMin(const Resources& a, const Resources& b)
+{
+    return { std::min(a.coresMilli, b.coresMilli), std::min(a.memoryMb, b.memoryMb), std::min(a.gpus, b.gpus) };
+}
+
+inline Resources componentMax(const Resources& a, const Resources& b)
+{
+    return { std::max(a.coresMilli, b.coresMilli), std::max(a.memoryMb, b.memoryMb), std::max(a.gpus, b.gpus) };
+}
+
 } // namespace fescuegw
--- a/fescuegw/direct/DemandSpread.h
+++ b/fescuegw/direct/DemandSpread.h
@@ -17,11 +17,11 @@
     // Between two rounds.
     Duration interval { std::chrono::milliseconds(50) };
     // What was told counts at an agent for this long; see GrantOptions::demandLife there, less a message's way.
-    Duration life { std::chrono::milliseconds(110) };
-    // Agents told in one round for each waiting task, within the bounds: some have nothing to give for long. With ten tasks of
-    // 300 ms on each of 16 upstreams room becomes free every 2 ms.
-    size_t agentsPerTask = 4;
-    size_t fewestAgents = 8;
+    Duration life { std::chrono::milliseconds(80) };
+    // Agents told in one round for each waiting task, within the bounds. Room that is granted where nothing waits any more stays
+    // empty for a round trip and the turns of two busy processes, so no more is asked for than waits.
+    size_t agentsPerTask = 1;
+    size_t fewestAgents = 4;
     size_t mostAgents = 16;
 };
 
--- a/fescuegw/direct/WaitingLine.cpp
+++ b/fescuegw/direct/WaitingLine.cpp
@@ -9,6 +9,7 @@
 wire::Demand WaitingLine::demand(TimePoint now, const std::string& service) const
 {
     wire::Demand demand;
+    Resources largest;
     for (const auto& it : m_line) {
         const WaitingTask& task = it.second;
         if (task.service != service)
@@ -20,7 +21,10 @@
             *demand.mutable_need() = wire::toWire(task.need);
         }
         demand.set_tasks(demand.tasks() + 1);
+        largest = componentMax(largest, task.need);
     }
+    if (demand.tasks() > 0)
+        *demand.mutable_largest_need() = wire::toWire(largest);
     return demand;
 }
 
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -74,6 +74,8 @@
     // The upstream.
     std::vector<Run> runs;
     std::vector<EndedRow> ended;
+    // The highest number under which a task has ended here.
+    std::map<StepTask, uint64_t> endedNumbers;
     uint64_t lastEnd = 0;
     double slowness = 1;
     double lostAnswers = 0;
@@ -294,6 +296,14 @@
 
 void LoadModel::startRun(AgentHost& agent, uint64_t serial, const StartOrder& order)
 {
+    const bool there = std::any_of(
+        agent.runs.begin(), agent.runs.end(), [&](const Run& it) { return it.task == order.task && it.number == order.run; });
+    const auto endedNumber = agent.endedNumbers.find(order.task);
+    const bool old = endedNumber != agent.endedNumbers.end() && order.run <= endedNumber->second;
+    if (there || old) {
+        answerStart(agent, serial, there ? StartVerdict::Accepted : StartVerdict::Superseded);
+        return;
+    }
     const auto work = m_work.find(order.task.job);
     const Duration length = work == m_work.end() ? std::chrono::milliseconds(1) : work->second;
     Run run;
@@ -311,12 +321,17 @@
     m_counters.overCapacity += taken > coresMilli ? 1 : 0;
     const RunEnd how = agent.failing ? RunEnd::Failed : RunEnd::Done;
     after(run.ends - m_now, [this, &agent, task = order.task, n = order.run, how] { endRun(agent, task, n, how); });
+    answerStart(agent, serial, StartVerdict::Accepted);
+}
+
+void LoadModel::answerStart(AgentHost& agent, uint64_t serial, StartVerdict verdict)
+{
     const bool lost = uniform() < agent.lostAnswers;
-    after(lost ? answerTimeout : localDelay, [this, &agent, serial, lost] {
+    after(lost ? answerTimeout : localDelay, [this, &agent, serial, lost, verdict] {
         if (lost)
             agent.table->onStartReply(m_now, serial, StartVerdict::Unanswered, std::nullopt);
         else
-            agent.table->onStartReply(m_now, serial, StartVerdict::Accepted, toMs(m_now));
+            agent.table->onStartReply(m_now, serial, verdict, toMs(m_now));
         settle(agent);
     });
 }
@@ -333,6 +348,8 @@
     if (--m_running[task] == 0)
         m_running.erase(task);
     agent.ended.push_back({ ++agent.lastEnd, task, run, how });
+    agent.endedNumbers[task] = std::max(agent.endedNumbers[task], run);
+    m_counters.repeated += how == RunEnd::Done && !m_done.insert(task).second ? 1 : 0;
     if (agent.holdNumber != 0)
         answerHold(agent, agent.holdNumber);
 }
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
     // Starts that brought an upstream over its capacity, and tasks that ran twice at a time: both must stay 0.
     uint64_t overCapacity = 0;
     uint64_t doubled = 0;
+    // Tasks that were done and ran to their end once more: work for nothing, and a second effect for the caller.
+    uint64_t repeated = 0;
 
     ClassCount total() const;
 };
@@ -108,6 +111,7 @@
     void settle(AgentHost&);
     void sendToAgent(EntryHost&, const AgentId&, const wire::EntryToUpstream&);
     void startRun(AgentHost&, uint64_t serial, const arbiter::StartOrder&);
+    void answerStart(AgentHost&, uint64_t serial, arbiter::StartVerdict);
     void stopRun(AgentHost&, const arbiter::StopOrder&);
     void endRun(AgentHost&, const StepTask&, uint64_t run, arbiter::RunEnd);
     void hold(AgentHost&);
@@ -126,6 +130,7 @@
     // How long each task of a job really takes, by the text that the job carries.
     std::map<std::string, Duration> m_work;
     std::map<StepTask, size_t> m_running;
+    std::set<StepTask> m_done;
     ModelCounters m_counters;
 };
 
--- a/fescuegw/model/LoadModelTest.cpp
+++ b/fescuegw/model/LoadModelTest.cpp
@@ -1,6 +1,5 @@
 // Load patterns replayed against the classes that decide in entries and agents, in virtual time and with fixed seeds.
 #include <cstdio>
-#include <ctime>
 
 #include <criterion/criterion.h>
 
@@ -12,6 +11,13 @@
 using namespace fescuegw;
 using namespace fescuegw::model;
 
+// Of the capacity, at rest; and the users' burst of everything.
+constexpr double restLoad = 0.64;
+constexpr double burst = 1.3;
+
+// The users' target for days with trouble.
+constexpr double troubleTarget = 0.72;
+
 // The mix of the users' sheets: quick checks, long plans, alerts.
 std::vector<JobClass> mix()
 {
@@ -43,13 +49,12 @@
     return options;
 }
 
-void print(const char* what, const ModelOptions& options, const LoadModel& model)
+void print(const char* what, const LoadModel& model)
 {
     const ClassCount sum = model.counters().total();
     const double jobs = std::max<double>(1, static_cast<double>(sum.asked));
-    std::printf("%s entries=%zu agents=%zu jobs=%llu in_time=%.3f late=%.3f refused=%.3f entry_messages_per_job=%.1f "
-                "agent_messages_per_job=%.1f\n",
-        what, options.entries, options.agents, static_cast<unsigned long long>(sum.asked), static_cast<double>(sum.inTime) / jobs,
+    std::printf("%s jobs=%llu in_time=%.3f late=%.3f refused=%.3f entry_messages_per_job=%.1f agent_messages_per_job=%.1f\n",
+        what, static_cast<unsigned long long>(sum.asked), static_cast<double>(sum.inTime) / jobs,
         static_cast<double>(sum.late) / jobs, static_cast<double>(sum.refused) / jobs,
         static_cast<double>(model.counters().entryMessages) / jobs, static_cast<double>(model.counters().agentMessages) / jobs);
 }
@@ -64,37 +69,91 @@
 {
     cr_assert_eq(model.counters().overCapacity, 0);
     cr_assert_eq(model.counters().doubled, 0);
+    cr_assert_eq(model.counters().repeated, 0);
     cr_assert_gt(model.counters().starts, 0);
 }
 
+// Warms up at rest, then counts what happens at `load` times the load.
+void measure(const char* what, LoadModel& model, double load, Duration duration)
+{
+    model.run(std::chrono::seconds(2));
+    model.resetCounters();
+    model.setLoad(load);
+    model.run(duration);
+    print(what, model);
+    checkRules(model);
+}
+
 void quiet() { logging::initialise("model", "error", ""); }
 
 } // namespace
 
 TestSuite(LoadModel, .init = quiet);
 
-Test(LoadModel, atRest)
+// Pattern: a quiet day.
+Test(LoadModel, atRestAllIsInTime)
 {
-    const ModelOptions options = fleet(4, 11, 0.64, 1);
-    LoadModel model(options);
-    model.run(std::chrono::seconds(2));
-    model.resetCounters();
-    model.run(std::chrono::seconds(10));
-    print("at_rest", options, model);
-    checkRules(model);
+    LoadModel model(fleet(4, 11, restLoad, 1));
+    measure("at_rest", model, 1, std::chrono::seconds(10));
     cr_assert_geq(shareInTime(model), 0.99);
 }
 
-Test(LoadModel, burstOfEverything)
+// Pattern: a burst that the upstreams could carry, 83% of their capacity. Only jobs whose estimates are far off may miss their
+// objective; refusals would be of jobs that there was room for.
+Test(LoadModel, aBurstBelowTheCapacityIsInTimeOnASmallFleet)
 {
-    const ModelOptions options = fleet(12, 75, 0.64, 2);
+    ModelOptions options = fleet(4, 11, restLoad, 3);
+    options.entryShare = 0.25;
     LoadModel model(options);
+    measure("burst", model, burst, std::chrono::seconds(12));
+    cr_assert_geq(shareInTime(model), 0.97);
+}
+
+Test(LoadModel, aBurstBelowTheCapacityIsInTimeOnALargeFleet)
+{
+    LoadModel model(fleet(12, 75, restLoad, 2));
+    measure("burst", model, burst, std::chrono::seconds(4));
+    cr_assert_geq(shareInTime(model), 0.97);
+    // Each task costs a start and a report; offers, echoes and what waits are to cost no more than that again and again.
+    const auto jobs = static_cast<double>(model.counters().total().asked);
+    cr_assert_leq(static_cast<double>(model.counters().entryMessages), 10 * jobs);
+    cr_assert_leq(static_cast<double>(model.counters().agentMessages), 10 * jobs);
+}
+
+// Pattern: a burst beyond the capacity. What can't be served is refused, and what is served uses the upstreams as before.
+Test(LoadModel, aBurstBeyondTheCapacityDoesNotLowerWhatIsServed)
+{
+    LoadModel model(fleet(12, 75, restLoad, 4));
+    measure("beyond", model, 1.8, std::chrono::seconds(4));
+    // Of 115% of the capacity at least 70% of the capacity: 0.7 / 1.15.
+    cr_assert_geq(shareInTime(model), 0.6);
+}
+
+// Pattern: a part of the upstreams loses answers.
+Test(LoadModel, lostAnswersCostLittleCapacity)
+{
+    LoadModel model(fleet(4, 11, restLoad, 5));
+    for (size_t n = 0; n < 4; ++n)
+        model.setLostAnswers(n, 0.29);
+    measure("lost_answers", model, 1, std::chrono::seconds(6));
+    cr_assert_geq(shareInTime(model), troubleTarget);
+}
+
+// Pattern: upstreams that fail all that they start, and would be free for ever more.
+Test(LoadModel, upstreamsThatFailAllAttractNoMore)
+{
+    LoadModel model(fleet(4, 11, restLoad, 6));
+    model.setFailing(3, true);
+    measure("failing", model, 1, std::chrono::seconds(6));
+    cr_assert_geq(shareInTime(model), troubleTarget);
+}
+
+// Pattern: upstreams that turn four times slower.
+Test(LoadModel, slowUpstreamsAreLeftAlone)
+{
+    LoadModel model(fleet(4, 11, restLoad, 7));
     model.run(std::chrono::seconds(2));
-    model.resetCounters();
-    model.setLoad(1.3);
-    const std::clock_t begin = std::clock();
-    model.run(std::chrono::seconds(4));
-    std::printf("cpu %.2f s\n", static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
-    print("burst_1.3", options, model);
-    checkRules(model);
+    model.setSlowness(2, 4);
+    measure("slow", model, 1, std::chrono::seconds(6));
+    cr_assert_geq(shareInTime(model), troubleTarget);
 }
