--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -19,12 +19,6 @@
     // Longer than any caller sends the same job again.
     constexpr Duration runNumberMemory = std::chrono::seconds(30);
 
-    uint32_t toMs(Duration duration)
-    {
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-        return static_cast<uint32_t>(std::max<int64_t>(ms, 0));
-    }
-
     Duration fromMs(uint64_t ms) { return std::chrono::milliseconds(ms); }
 
     TimePoint fromMicros(uint64_t us) { return TimePoint(Duration(static_cast<int64_t>(us))); }
@@ -397,7 +391,7 @@
     *report.mutable_key() = run.request.key();
     report.set_state(state);
     report.set_reason(reason);
-    report.set_run_ms(run.confirmed ? toMs(now - run.confirmedAt) : 0);
+    report.set_run_ms(run.confirmed ? static_cast<uint32_t>(toMs(now - run.confirmedAt)) : 0);
     Event(state == wire::ATTEMPT_DONE ? Level::Info : Level::Warn, "attempt_ended")
         .with("request", run.task.job)
         .with("task", std::to_string(run.task.step) + "/" + std::to_string(run.task.index))
--- a/fescuegw/base/Types.cpp
+++ b/fescuegw/base/Types.cpp
@@ -90,4 +90,10 @@
     return n;
 }
 
+uint64_t toMs(Duration duration)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return ms > 0 ? static_cast<uint64_t>(ms) : 0;
+}
+
 } // namespace fescuegw
--- a/fescuegw/base/Types.h
+++ b/fescuegw/base/Types.h
@@ -22,6 +22,9 @@
 // Returns the wall clock in milliseconds since 1970.
 uint64_t wallClockMs();
 
+// Returns whole milliseconds, 0 for what is negative.
+uint64_t toMs(Duration);
+
 // Returns microseconds since the clock's origin.
 uint64_t toMicros(TimePoint);
 
--- /dev/null
+++ b/fescuegw/direct/JobReports.cpp
@@ -0,0 +1,198 @@
+// What a JobTable learns from agents, and what follows for its jobs.
+#include <algorithm>
+
+#include "fescuegw/direct/JobTable.h"
+#include "fescuegw/logging/Log.h"
+#include "fescuegw/wire/Direct.h"
+
+namespace fescuegw::direct {
+
+using logging::Event;
+using logging::Level;
+
+void JobTable::onAgent(TimePoint now, const wire::UpstreamToEntry& message)
+{
+    const AgentId id { message.agent(), message.incarnation() };
+    AgentView* view = m_offers.onMessage(now, message);
+    if (view == nullptr)
+        return;
+    view->replyDue = view->replyDue || view->attempts > 0 || message.reports_size() > 0;
+    for (const auto& it : message.reports())
+        applyReport(now, id, it);
+    // A new process of the agent ends what the old one started before it offers anything.
+    if (message.offer().accepting()) {
+        std::vector<AgentId> earlier;
+        for (const auto& it : m_offers.agents())
+            if (it.first.name == id.name && it.first.incarnation < id.incarnation && it.second.attempts > 0)
+                earlier.push_back(it.first);
+        for (const auto& it : earlier)
+            loseAgent(now, it, "agent_restarted");
+    }
+    for (const auto& it : message.grants())
+        useGrant(now, id, it);
+    if (m_lineGrew)
+        serveLine(now);
+    else
+        serveAgent(now, id);
+}
+
+void JobTable::release(Task& task)
+{
+    if (AgentView* view = m_offers.find(task.agent); view != nullptr && view->attempts > 0)
+        --view->attempts;
+}
+
+void JobTable::applyReport(TimePoint now, const AgentId& agent, const wire::AttemptReport& report)
+{
+    const auto it = m_jobs.find(report.key().job());
+    const uint32_t step = report.key().step();
+    const uint32_t index = report.key().index();
+    if (it == m_jobs.end() || step >= it->second.steps.size() || index >= it->second.steps[step].tasks.size()) {
+        ++m_counters.strayReports;
+        return;
+    }
+    Job& job = it->second;
+    Task& task = job.steps[step].tasks[index];
+    if (task.state != TaskState::Sent || task.agent != agent || task.attempt != report.key().attempt())
+        return;
+    if (report.state() == wire::ATTEMPT_STARTED) {
+        onStarted(now - std::chrono::milliseconds(report.run_ms()), job, task);
+        return;
+    }
+    if (report.state() != wire::ATTEMPT_NOT_STARTED)
+        onStarted(now - std::chrono::milliseconds(report.run_ms()), job, task);
+    release(task);
+    --job.outstanding;
+    task.state = report.state() == wire::ATTEMPT_DONE ? TaskState::Done : TaskState::Pending;
+    uint32_t& sharing = job.steps[step].sharing[agent];
+    sharing -= task.state == TaskState::Pending && sharing > 0 ? 1 : 0;
+    switch (report.state()) {
+    case wire::ATTEMPT_DONE:
+        onDone(now, job, step);
+        break;
+    case wire::ATTEMPT_FAILED:
+        task.avoid.insert(agent);
+        onFailed(now, job, step, index);
+        break;
+    case wire::ATTEMPT_NOT_STARTED:
+        ++m_counters.notStarted;
+        onNotStarted(now, job, step, index, report.reason());
+        break;
+    default:
+        task.avoid.insert(agent);
+        onLost(now, job, step, index, report.reason());
+        break;
+    }
+}
+
+void JobTable::onStarted(TimePoint since, Job& job, Task& task)
+{
+    if (!task.started) {
+        task.started = true;
+        task.startedAt = since;
+        task.queuedAt = std::nullopt;
+        ++m_counters.started;
+    }
+    if (job.mayHaveRun)
+        return;
+    // What still waits of it moves forward in the line.
+    unqueue(job);
+    job.mayHaveRun = true;
+    if (!job.answered && !job.refusing)
+        queueReady(since, job);
+}
+
+void JobTable::onDone(TimePoint now, Job& job, size_t step)
+{
+    if (++job.steps[step].done < job.steps[step].tasks.size() || job.answered)
+        return;
+    const bool complete
+        = std::all_of(job.steps.begin(), job.steps.end(), [](const Step& it) { return it.done == it.tasks.size(); });
+    if (complete)
+        answer(now, job, { JobOutcome::Kind::Completed, "", 0 });
+    else
+        queueReady(now, job);
+}
+
+void JobTable::onFailed(TimePoint now, Job& job, size_t step, size_t index)
+{
+    ++m_counters.failedAttempts;
+    Task& task = job.steps[step].tasks[index];
+    ++task.failures;
+    if (job.answered)
+        return;
+    if (task.failures >= std::max(job.request.route.attempts(), 1U)) {
+        answer(now, job, { JobOutcome::Kind::Failed, "task_failed_" + std::to_string(task.failures) + "_times", 0 });
+        stopAttempts(job);
+        return;
+    }
+    queue(now, job, step, index);
+}
+
+void JobTable::onNotStarted(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
+{
+    if (job.answered)
+        return;
+    if (job.refusing) {
+        giveUp(now, job, job.refusal);
+        return;
+    }
+    Task& task = job.steps[step].tasks[index];
+    if (task.attempt >= m_options.mostAttempts) {
+        giveUp(now, job, "given_back_too_often: " + reason);
+        return;
+    }
+    if (reason != "no_room")
+        task.avoid.insert(task.agent);
+    queue(now, job, step, index);
+}
+
+void JobTable::onLost(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
+{
+    ++m_counters.lostAttempts;
+    if (job.answered)
+        return;
+    if (job.refusing)
+        giveUp(now, job, reason);
+    else
+        queue(now, job, step, index);
+}
+
+// Starts that never left are known not to have run. Stops and acknowledgements are repeated by what made them necessary.
+void JobTable::onUndeliverable(TimePoint now, const AgentId& agent, const wire::EntryToUpstream& message)
+{
+    for (const auto& it : message.starts()) {
+        wire::AttemptReport report;
+        *report.mutable_key() = it.key();
+        report.set_state(wire::ATTEMPT_NOT_STARTED);
+        report.set_reason("agent_unreachable");
+        applyReport(now, agent, report);
+    }
+}
+
+void JobTable::loseAgent(TimePoint now, const AgentId& agent, const std::string& reason)
+{
+    std::vector<wire::AttemptReport> reports;
+    for (const auto& job : m_jobs) {
+        for (size_t step = 0; step < job.second.steps.size(); ++step) {
+            for (size_t index = 0; index < job.second.steps[step].tasks.size(); ++index) {
+                const Task& task = job.second.steps[step].tasks[index];
+                if (task.state != TaskState::Sent || task.agent != agent)
+                    continue;
+                wire::AttemptReport report;
+                *report.mutable_key()
+                    = wire::toWire({ job.first, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+                report.set_state(wire::ATTEMPT_LOST);
+                report.set_reason(reason);
+                reports.push_back(report);
+            }
+        }
+    }
+    Event(Level::Warn, "agent_lost").with("agent", toString(agent)).with("reason", reason).with("attempts", reports.size());
+    for (const auto& it : reports)
+        applyReport(now, agent, it);
+    if (AgentView* view = m_offers.find(agent))
+        view->attempts = 0;
+}
+
+} // namespace fescuegw::direct
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -25,11 +25,6 @@
     constexpr int64_t memoryMb = 262144;
     constexpr uint64_t born = 1;
 
-    uint64_t toMs(TimePoint at)
-    {
-        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count());
-    }
-
     Duration scaled(Duration duration, double factor)
     {
         return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -331,7 +326,7 @@
         if (lost)
             agent.table->onStartReply(m_now, serial, StartVerdict::Unanswered, std::nullopt);
         else
-            agent.table->onStartReply(m_now, serial, verdict, toMs(m_now));
+            agent.table->onStartReply(m_now, serial, verdict, toMs(m_now.time_since_epoch()));
         settle(agent);
     });
 }
@@ -383,7 +378,7 @@
         return;
     Listing listing;
     listing.bornMs = born;
-    listing.clockMs = toMs(m_now);
+    listing.clockMs = toMs(m_now.time_since_epoch());
     for (const auto& it : agent.runs) {
         const double total = std::max<double>(1, static_cast<double>((it.ends - it.started).count()));
         const auto percent = static_cast<uint32_t>(100 * static_cast<double>((m_now - it.started).count()) / total);
