--- /dev/null
+++ b/fescuegw/arbiter/EntryLinksTest.cpp
@@ -0,0 +1,137 @@
+// What an agent tells entries, over links that lose messages.
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "fescuegw/arbiter/EntryLinks.h"
+
+namespace {
+
+using namespace fescuegw;
+using namespace fescuegw::arbiter;
+
+constexpr const char* address = "10.0.0.1:1";
+
+struct Agent {
+    Agent() { links.onView(now, view(true)); }
+
+    static wire::View view(bool listed)
+    {
+        wire::View view;
+        if (listed)
+            view.add_entries()->set_address(address);
+        return view;
+    }
+
+    void hear(const std::string& entry, uint64_t acknowledged, uint32_t intervalMs = 0)
+    {
+        wire::EntryToUpstream message;
+        message.set_entry(entry);
+        message.set_acked_reports(acknowledged);
+        message.set_offer_interval_ms(intervalMs);
+        cr_assert(links.onMessage(now, address, message));
+    }
+
+    void report(const std::string& entry, wire::AttemptState state)
+    {
+        wire::AttemptReport it;
+        it.set_state(state);
+        links.report(entry, it);
+    }
+
+    void send()
+    {
+        links.send(
+            now, { "agent", 1 }, [] { return wire::UpstreamOffer(); },
+            [this](const std::string&, const wire::UpstreamToEntry& it) { sent.push_back(it); });
+    }
+
+    void pass(int64_t ms)
+    {
+        now += std::chrono::milliseconds(ms);
+        send();
+    }
+
+    TimePoint now { std::chrono::hours(1) };
+    EntryLinks links;
+    std::vector<wire::UpstreamToEntry> sent;
+};
+
+} // namespace
+
+Test(EntryLinks, reportsAreRepeatedUntilAcknowledged)
+{
+    Agent agent;
+    agent.hear("e/1", 0, 250);
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.report("e/1", wire::ATTEMPT_FAILED);
+    agent.send();
+    cr_assert_eq(agent.sent.back().reports_size(), 2);
+    cr_assert_eq(agent.sent.back().first_report(), 1);
+    cr_assert(!agent.links.allAcknowledged());
+    agent.hear("e/1", 1);
+    agent.pass(500);
+    cr_assert_eq(agent.sent.back().reports_size(), 1);
+    cr_assert_eq(agent.sent.back().first_report(), 2);
+    cr_assert_eq(agent.sent.back().reports(0).state(), wire::ATTEMPT_FAILED);
+    // An older acknowledgement that was overtaken takes nothing back; one for more than was sent acknowledges what was.
+    agent.hear("e/1", 0);
+    agent.hear("e/1", 90);
+    cr_assert(agent.links.allAcknowledged());
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.send();
+    cr_assert_eq(agent.sent.back().first_report(), 3);
+}
+
+Test(EntryLinks, aStartWaitsForTheNextMessageAndAnEndDoesNot)
+{
+    Agent agent;
+    agent.hear("e/1", 0, 250);
+    agent.send();
+    const size_t n = agent.sent.size();
+    agent.report("e/1", wire::ATTEMPT_STARTED);
+    agent.pass(10);
+    cr_assert_eq(agent.sent.size(), n);
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.pass(1);
+    cr_assert_eq(agent.sent.size(), n + 1);
+    cr_assert_eq(agent.sent.back().reports_size(), 2);
+}
+
+Test(EntryLinks, offersComeAsOftenAsTheEntryWants)
+{
+    Agent agent;
+    agent.hear("e/1", 0, 200);
+    agent.send();
+    const size_t n = agent.sent.size();
+    for (int i = 0; i < 100; ++i)
+        agent.pass(10);
+    cr_assert_eq(agent.sent.size(), n + 5);
+}
+
+Test(EntryLinks, nobodyWaitsForReportsToAnEarlierProcess)
+{
+    Agent agent;
+    agent.hear("e/1", 0);
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.hear("e/2", 0);
+    cr_assert(agent.links.allAcknowledged());
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    cr_assert(agent.links.allAcknowledged());
+}
+
+Test(EntryLinks, anUnlistedEntryIsKeptWhileItSpeaks)
+{
+    Agent agent;
+    agent.links.onView(agent.now, Agent::view(false));
+    for (int i = 0; i < 20; ++i) {
+        agent.pass(1000);
+        agent.hear("e/1", 0);
+        cr_assert(agent.links.expire(agent.now).empty());
+    }
+    agent.pass(10001);
+    cr_assert_eq(agent.links.expire(agent.now), std::vector<std::string> { address });
+    cr_assert(agent.links.empty());
+}
