--- a/fescuegw/direct/DemandSpread.h
+++ b/fescuegw/direct/DemandSpread.h
@@ -16,7 +16,8 @@
 struct DemandSpreadOptions {
     // Between two rounds.
     Duration interval { std::chrono::milliseconds(50) };
-    // What was told counts at an agent for this long; see GrantOptions::demandLife there, less a message's way.
+    // A message to an agent repeats what it was told for this long after its round, and takes it back later. Below
+    // GrantOptions::demandLife, after which the agent forgets it by itself.
     Duration life { std::chrono::milliseconds(80) };
     // Agents told in one round for each waiting task, within the bounds. Room that is granted where nothing waits any more stays
     // empty for a round trip and the turns of two busy processes, so no more is asked for than waits.
