An agent that was lost and is heard again gets messages that it does not take for overtaken ones

The agent refuses what is not newer than what it has had, so it neither told what it held nor released results until the numbers had caught up, one every 1.5 s: it took no work, and its drain ran into the limit. Ruled out: the release of results of tasks that were lost (the collected list releases them once it is asked for). Change: numbers of a lost agent are kept and continued, and never start below what the agent reports.

--- a/fescuegw/dispatch/Recovery.cpp
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -1,6 +1,8 @@
 // Taking a service over, and what agents hold: enrolment, collection, loss.
 #include "fescuegw/dispatch/ServiceDispatcher.h"
 
+#include <algorithm>
+
 #include "fescuegw/logging/Log.h"
 
 namespace fescuegw::dispatch {
@@ -109,6 +111,7 @@
         }
         // No open submission can have a task there any more, so no later owner needs to ask for it.
         retire(*it);
+        m_lostSequences.erase(*it);
         it = m_lost.erase(it);
     }
 }
@@ -149,6 +152,8 @@
             loseAgent(now, other, "the agent was restarted");
         it = m_upstreams.try_emplace(agent, now, agent, m_options.upstream).first;
         m_lost.erase(agent);
+        it->second.continueAfter(std::max(m_lostSequences[agent], report.received_sequence()));
+        m_lostSequences.erase(agent);
         if (m_enrolled.contains(agent))
             it->second.setEnrolled();
         else if (!m_retiring.contains(agent))
@@ -238,6 +243,7 @@
         .with("tasks", occupations.size())
         .with("reason", reason);
     ++m_counters.lostAgents;
+    m_lostSequences[agent] = found->second.sequence();
     m_upstreams.erase(found);
     m_outboxes.erase(agent);
     m_lost.insert(agent);
--- a/fescuegw/dispatch/ServiceDispatcher.h
+++ b/fescuegw/dispatch/ServiceDispatcher.h
@@ -221,6 +221,8 @@
     // All agents enrolled in the replicated state, present or not.
     std::set<AgentId> m_enrolled;
     std::set<AgentId> m_lost;
+    // The last message number of each lost agent that may be heard again: it refuses messages that are not newer.
+    std::map<AgentId, uint64_t> m_lostSequences;
     // Agents whose retirement has been proposed and not yet decided.
     std::set<AgentId> m_retiring;
     std::map<SubmissionKey, Tracked> m_submissions;
--- a/fescuegw/dispatch/Upstream.h
+++ b/fescuegw/dispatch/Upstream.h
@@ -1,6 +1,7 @@
 // An upstream as the owner of its service sees it, through the agent beside it: slots, sizes, lease and health.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -91,6 +92,9 @@
     uint64_t startBy(TimePoint now) const;
 
     uint64_t nextSequence() { return ++m_sequence; }
+    uint64_t sequence() const { return m_sequence; }
+    // Messages from now on have numbers above `sequence`.
+    void continueAfter(uint64_t sequence) { m_sequence = std::max(m_sequence, sequence); }
 
 private:
     AgentId m_agent;
