Fault soak of the programs on the users' platform; a link that a forwarder silences is opened anew

The soak (fescuegw/soak: plan of faults from a seed, ledger of promises; platform/soak: fleet, stand-in workers, callers, operator) runs the real processes on one machine, with forwarders before every listening socket of theirs. Cause: silent links were left to the kernel's limits, which see the forwarder's acknowledgements. Hub now probes a link on which nothing came for a second, and opens it anew when the probe stays unanswered as long. New settings: advertise of entry and replica, so that a forwarder can stand before them.

--- a/fescuegw/daemon/Daemon.cpp
+++ b/fescuegw/daemon/Daemon.cpp
@@ -25,6 +25,13 @@
         return set;
     }
 
+    // From now on the signals that are handled wait until `StopSignal` takes them.
+    void keepSignals()
+    {
+        const sigset_t set = handledSignals();
+        pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    }
+
 } // namespace
 
 ProcessSettings readProcessSettings(settings::Document& document)
@@ -96,8 +103,7 @@
 
 StopSignal::StopSignal()
 {
-    const sigset_t set = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    keepSignals();
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -130,6 +136,7 @@
 int runDaemon(int argc, char** argv, const std::string& program, const std::string& summary,
     const std::function<void(settings::Document&)>& check, const std::function<int()>& run)
 {
+    keepSignals();
     namespace options = boost::program_options;
     options::options_description description(program + ": " + summary + "\n\nOptions");
     description.add_options()("settings", options::value<std::string>(), "the settings file (INI); see docs/SETTINGS.md")(
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -41,6 +41,7 @@
     DirectSettings settings;
     settings.process = daemon::readProcessSettings(document);
     settings.listen = document.address("entry", "listen");
+    settings.advertised = document.addressOr("entry", "advertise", settings.listen);
     settings.balancerGrace = std::chrono::milliseconds(document.numberOr("entry", "balancer-grace-ms", 3000, 0, 600000));
     settings.drainLimit = std::chrono::milliseconds(document.numberOr("entry", "drain-limit-ms", 4800, 0, 3600000));
     settings.seeds = group::readSeeds(document);
@@ -115,7 +116,7 @@
 {
     wire::EntryInfo info;
     info.set_entry(m_identity);
-    info.set_address(m_settings.listen.text());
+    info.set_address(m_settings.advertised.text());
     info.set_draining(m_draining);
     return info;
 }
--- a/fescuegw/direct/DirectServer.h
+++ b/fescuegw/direct/DirectServer.h
@@ -22,6 +22,8 @@
     daemon::ProcessSettings process;
     // Where agents connect.
     settings::Address listen;
+    // Where agents reach it: `listen`, unless a forwarder stands before it.
+    settings::Address advertised;
     // Where replicas of the state group may be found.
     std::vector<settings::Address> seeds;
     // From "not ready" until the process may end: the balancer has to notice first.
--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -1,6 +1,7 @@
 #include "fescuegw/net/Hub.h"
 
 #include <array>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -132,10 +133,19 @@
 }
 
 struct Hub::Sockets {
+    // A link that this process has opened.
+    struct Dealer {
+        std::string address;
+        std::unique_ptr<zmq::socket_t> socket;
+        TimePoint heard;
+        // When the probe that is not answered yet was sent.
+        std::optional<TimePoint> probed;
+    };
+
     zmq::context_t context { 1 };
     std::unique_ptr<Authenticator> authenticator;
     std::unique_ptr<zmq::socket_t> router;
-    std::map<std::string, std::unique_ptr<zmq::socket_t>> dealers;
+    std::map<std::string, Dealer> dealers;
 };
 
 Hub::Hub(HubOptions options, HubHooks hooks)
@@ -194,7 +204,7 @@
         dealer->set(zmq::sockopt::curve_secretkey, m_options.keys.secretKey);
     }
     dealer->connect(endpoint(address));
-    m_sockets->dealers[name] = std::move(dealer);
+    m_sockets->dealers[name] = Sockets::Dealer { address, std::move(dealer), monotonicNow(), std::nullopt };
 }
 
 void Hub::disconnect(const std::string& name) { m_sockets->dealers.erase(name); }
@@ -245,7 +255,7 @@
         std::vector<std::string> names;
         items.push_back({ nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0 });
         for (const auto& it : m_sockets->dealers) {
-            items.push_back({ it.second->handle(), 0, ZMQ_POLLIN, 0 });
+            items.push_back({ it.second.socket->handle(), 0, ZMQ_POLLIN, 0 });
             names.push_back(it.first);
         }
         if (m_sockets->router)
@@ -262,6 +272,7 @@
         for (size_t i = 0; i < names.size(); ++i)
             if ((items[i + 1].revents & ZMQ_POLLIN) != 0)
                 receiveFrom(now, names[i]);
+        probeLinks(now);
         runTasks(monotonicNow());
         m_hooks.onBatchEnd(monotonicNow());
         flush(monotonicNow());
@@ -269,6 +280,27 @@
     flush(monotonicNow());
 }
 
+// An empty message is a probe, and so is its answer. What was sent over a silent link is lost, as when a link breaks.
+void Hub::probeLinks(TimePoint now)
+{
+    std::vector<std::pair<std::string, std::string>> silent;
+    for (auto& it : m_sockets->dealers) {
+        Sockets::Dealer& dealer = it.second;
+        if (dealer.probed && now - *dealer.probed > m_options.probeLimit)
+            silent.emplace_back(it.first, dealer.address);
+        else if (!dealer.probed && now - dealer.heard > m_options.probeLimit
+            && transmit({ { Peer::Direction::Connected, it.first }, "" }))
+            dealer.probed = now;
+    }
+    for (const auto& [name, address] : silent) {
+        logging::Event(logging::Level::Warn, "link_reopened")
+            .with("peer", name)
+            .with("address", address)
+            .with("silent_ms", toMs(now - m_sockets->dealers.at(name).heard));
+        connect(name, address);
+    }
+}
+
 void Hub::stop()
 {
     m_stopped = true;
@@ -282,6 +314,11 @@
         const Peer peer { Peer::Direction::Accepted, message.to_string() };
         if (!message.more() || !m_sockets->router->recv(message))
             continue;
+        // A probe. If the answer can't be sent, the far end opens the link anew.
+        if (message.size() == 0) {
+            (void)transmit({ peer, "" });
+            continue;
+        }
         m_hooks.onMessage(now, peer, message.to_string());
     }
 }
@@ -292,9 +329,12 @@
     for (int n = 0; n < receiveBurst; ++n) {
         // A hook may have disconnected the peer.
         const auto found = m_sockets->dealers.find(name);
-        if (found == m_sockets->dealers.end() || !found->second->recv(message, zmq::recv_flags::dontwait))
+        if (found == m_sockets->dealers.end() || !found->second.socket->recv(message, zmq::recv_flags::dontwait))
             break;
-        m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
+        found->second.heard = now;
+        found->second.probed = std::nullopt;
+        if (message.size() > 0)
+            m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
     }
 }
 
@@ -317,7 +357,7 @@
             const auto found = m_sockets->dealers.find(outgoing.peer.name);
             if (found == m_sockets->dealers.end())
                 return false;
-            return found->second->send(zmq::buffer(outgoing.message), zmq::send_flags::dontwait).has_value();
+            return found->second.socket->send(zmq::buffer(outgoing.message), zmq::send_flags::dontwait).has_value();
         }
         if (!m_sockets->router)
             return false;
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -50,6 +50,9 @@
     Duration tickInterval { std::chrono::milliseconds(20) };
     // A link whose far end has acknowledged nothing for this long is opened anew. Zero: only when it breaks.
     Duration silenceLimit {};
+    // A link on which no message came for this long is probed, and opened anew when the probe is not answered for as long: a
+    // forwarder between the hosts may acknowledge what it doesn't pass on.
+    Duration probeLimit { std::chrono::milliseconds(1000) };
 };
 
 struct HubHooks {
@@ -61,7 +64,8 @@
 };
 
 // Owns the sockets of one process and the thread that serves them. Hooks run on the thread that calls `run`.
-// `send`, `post` and `stop` are thread-safe; `connect` and `disconnect` belong to the thread of `run` or come before it.
+// Both ends of a link must be hubs: they answer each other's probes. `send`, `post` and `stop` are thread-safe; `connect` and
+// `disconnect` belong to the thread of `run` or come before it.
 class Hub {
 public:
     Hub(HubOptions, HubHooks);
@@ -99,6 +103,7 @@
     };
 
     void wake();
+    void probeLinks(TimePoint now);
     void receiveAccepted(TimePoint now);
     void receiveFrom(TimePoint now, const std::string& name);
     void runTasks(TimePoint now);
--- a/fescuegw/relay/Relay.cpp
+++ b/fescuegw/relay/Relay.cpp
@@ -19,6 +19,8 @@
     constexpr size_t bufferSize = 64U << 10U;
     constexpr int backlog = 512;
     constexpr Duration pollMost = std::chrono::milliseconds(50);
+    // A receiver that takes nothing is tried again after this.
+    constexpr Duration writeRetry = std::chrono::microseconds(300);
 
     sockaddr_in toSocketAddress(const settings::Address& address)
     {
@@ -98,7 +100,8 @@
         if (n < 0 && (errno == EAGAIN || errno == EINTR))
             return;
         direction.readEnded = n <= 0;
-        direction.chunks.push_back(Chunk { now + m_delay, std::string(buf.data(), n > 0 ? static_cast<size_t>(n) : 0), n <= 0 });
+        direction.chunks.push_back(
+            Chunk { now + m_delay.load(), std::string(buf.data(), n > 0 ? static_cast<size_t>(n) : 0), n <= 0 });
     }
 }
 
@@ -127,27 +130,41 @@
     while (!m_finished) {
         const TimePoint before = monotonicNow();
         TimePoint next = before + pollMost;
-        std::vector<pollfd> items { { m_listener, POLLIN, 0 } };
+        const Cut cut = m_cut;
+        std::vector<pollfd> items { { cut == Cut::None ? m_listener : -1, POLLIN, 0 } };
         for (const auto& it : m_connections) {
-            items.push_back({ it.outward.readEnded ? -1 : it.near, POLLIN, 0 });
-            items.push_back({ it.inward.readEnded ? -1 : it.far, POLLIN, 0 });
-            for (const Direction* direction : { &it.outward, &it.inward })
-                if (!direction->chunks.empty())
-                    next = std::min(next, direction->chunks.front().due);
+            if (it.silent)
+                continue;
+            items.push_back({ it.outward.readEnded || cut == Cut::Outward ? -1 : it.near, POLLIN, 0 });
+            items.push_back({ it.inward.readEnded || cut == Cut::Inward ? -1 : it.far, POLLIN, 0 });
+            if (cut != Cut::Outward && !it.outward.chunks.empty())
+                next = std::min(next, std::max(it.outward.chunks.front().due, before + writeRetry));
+            if (cut != Cut::Inward && !it.inward.chunks.empty())
+                next = std::min(next, std::max(it.inward.chunks.front().due, before + writeRetry));
         }
         const auto wait = std::max(next - before, Duration(0));
         const timespec timeout { 0, static_cast<long>(wait.count()) * 1000 };
-        if (m_cut) {
+        if (cut == Cut::Both) {
             std::this_thread::sleep_for(pollMost);
             continue;
         }
         ppoll(items.data(), items.size(), &timeout, nullptr);
         const TimePoint now = monotonicNow();
+        const bool silence = m_silence.exchange(false);
         for (auto& it : m_connections) {
-            readFrom(now, it.near, it.outward);
-            readFrom(now, it.far, it.inward);
-            writeTo(now, it.far, it.outward, it.closed);
-            writeTo(now, it.near, it.inward, it.closed);
+            it.silent = it.silent || silence;
+            if (it.silent) {
+                it.closed = m_reset;
+                continue;
+            }
+            if (cut != Cut::Outward) {
+                readFrom(now, it.near, it.outward);
+                writeTo(now, it.far, it.outward, it.closed);
+            }
+            if (cut != Cut::Inward) {
+                readFrom(now, it.far, it.inward);
+                writeTo(now, it.near, it.inward, it.closed);
+            }
             const bool outwardDone = it.outward.readEnded && it.outward.chunks.empty();
             const bool inwardDone = it.inward.readEnded && it.inward.chunks.empty();
             it.closed = it.closed || (outwardDone && inwardDone) || m_reset;
@@ -160,7 +177,8 @@
             close(it.far);
             return true;
         });
-        acceptOne();
+        if (cut == Cut::None)
+            acceptOne();
     }
 }
 
--- a/fescuegw/relay/Relay.h
+++ b/fescuegw/relay/Relay.h
@@ -12,8 +12,16 @@
 
 namespace fescuegw::relay {
 
+// Which way bytes no longer pass. Outward is from who connected to the target.
+enum class Cut : uint8_t {
+    None,
+    Both,
+    Outward,
+    Inward,
+};
+
 // Forwards every connection to `listen` on to `target`, each byte `delay` later. While cut it neither forwards nor closes, as
-// a silent partition does. Thread-safe.
+// a silent partition does, and accepts nobody. Thread-safe.
 class Relay {
 public:
     Relay(settings::Address listen, settings::Address target, Duration delay);
@@ -24,7 +32,12 @@
     Relay& operator=(Relay&&) = delete;
 
     Result<void> start();
-    void setCut(bool cut) { m_cut = cut; }
+    void setCut(bool cut) { setCut(cut ? Cut::Both : Cut::None); }
+    void setCut(Cut cut) { m_cut = cut; }
+    void setDelay(Duration delay) { m_delay = delay; }
+
+    // Forwards nothing more on the connections that are open now, and does not close them; later ones are served.
+    void silence() { m_silence = true; }
 
     // Closes all connections, as a restarted switch does.
     void reset() { m_reset = true; }
@@ -45,6 +58,7 @@
         Direction outward;
         Direction inward;
         bool closed = false;
+        bool silent = false;
     };
 
     void serve();
@@ -54,8 +68,9 @@
 
     settings::Address m_listen;
     settings::Address m_target;
-    Duration m_delay;
-    std::atomic<bool> m_cut { false };
+    std::atomic<Duration> m_delay;
+    std::atomic<Cut> m_cut { Cut::None };
+    std::atomic<bool> m_silence { false };
     std::atomic<bool> m_reset { false };
     std::atomic<bool> m_finished { false };
     int m_listener = -1;
--- a/fescuegw/settings/Settings.cpp
+++ b/fescuegw/settings/Settings.cpp
@@ -184,6 +184,11 @@
     return parsed.value_or(Address());
 }
 
+Address Document::addressOr(const std::string& section, const std::string& key, const Address& absent)
+{
+    return has(section, key) ? address(section, key) : absent;
+}
+
 std::vector<Address> Document::addresses(const std::string& section, const std::string& key)
 {
     const Value* value = require(section, key);
--- a/fescuegw/settings/Settings.h
+++ b/fescuegw/settings/Settings.h
@@ -42,6 +42,7 @@
     std::string name(const std::string& section, const std::string& key);
     std::string text(const std::string& section, const std::string& key);
     Address address(const std::string& section, const std::string& key);
+    Address addressOr(const std::string& section, const std::string& key, const Address& absent);
     // One or more addresses, separated by commas.
     std::vector<Address> addresses(const std::string& section, const std::string& key);
 
--- /dev/null
+++ b/fescuegw/soak/Ledger.cpp
@@ -0,0 +1,168 @@
+#include "fescuegw/soak/Ledger.h"
+
+#include <algorithm>
+
+namespace fescuegw::soak {
+
+namespace {
+
+    std::string nameOf(const StepTask& task, uint64_t run)
+    {
+        return task.job + "/" + std::to_string(task.step) + "/" + std::to_string(task.index) + " run " + std::to_string(run);
+    }
+
+} // namespace
+
+void Ledger::add(const std::string& promise, const std::string& detail) { m_violations.push_back({ promise, detail }); }
+
+void Ledger::report(const std::string& promise, const std::string& detail)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    add(promise, detail);
+}
+
+void Ledger::onSubmitted(const std::string& job, size_t tasks, const std::string& specification)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Job& added = m_jobs[job];
+    added.tasks = tasks;
+    added.specification = specification;
+}
+
+void Ledger::onAnswered(const std::string& job, CallEnd end)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Job& answered = m_jobs[job];
+    ++answered.ends[end];
+    if (end == CallEnd::Completed && answered.done.size() < answered.tasks)
+        add("whole answers", job + ": completed with " + std::to_string(answered.done.size()) + " tasks done");
+    const bool explained = std::any_of(
+        answered.failures.begin(), answered.failures.end(), [&](const auto& it) { return it.second >= m_options.attempts; });
+    if (end == CallEnd::Failed && !explained)
+        add("failures have a cause", job + ": no task has failed " + std::to_string(m_options.attempts) + " times");
+}
+
+void Ledger::onUpstreamStarted(const std::string& upstream, const Resources& capacity)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_upstreams[upstream] = Upstream { capacity, {}, false, {} };
+}
+
+void Ledger::onLeavingAcknowledged(TimePoint now, const std::string& upstream)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Upstream& leaving = m_upstreams[upstream];
+    if (leaving.leaving)
+        return;
+    leaving.leaving = true;
+    leaving.leavingSince = now;
+}
+
+void Ledger::onRunStarted(TimePoint now, const std::string& upstream, const StepTask& task, uint64_t run, const Resources& need,
+    const std::string& specification, bool prompt)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_starts;
+    const std::string what = nameOf(task, run) + " on " + upstream;
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || task.step != 0 || task.index >= job->second.tasks || specification != job->second.specification) {
+        add("only what was asked for", what);
+        return;
+    }
+    ++job->second.starts;
+    for (const auto& other : m_upstreams)
+        for (const auto& it : other.second.runs)
+            if (it.task == task)
+                add("no two runs at a time", what + " beside run " + std::to_string(it.number) + " on " + other.first);
+    Upstream& host = m_upstreams[upstream];
+    host.runs.push_back({ task, run, need });
+    host.free -= need;
+    if (host.free.coresMilli < 0 || host.free.memoryMb < 0)
+        add("no start over the capacity",
+            what + ": " + std::to_string(-host.free.coresMilli) + " thousandths of a core too many");
+    if (host.leaving && prompt && now - host.leavingSince > m_options.drainLimit)
+        add("no start on an upstream that leaves", what);
+}
+
+void Ledger::onRunEnded(const std::string& upstream, const StepTask& task, uint64_t run, RunOutcome outcome)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Upstream& host = m_upstreams[upstream];
+    const auto it = std::find_if(host.runs.begin(), host.runs.end(),
+        [&](const Run& candidate) { return candidate.task == task && candidate.number == run; });
+    if (it == host.runs.end())
+        return;
+    host.free += it->need;
+    host.runs.erase(it);
+    Job& job = m_jobs[task.job];
+    if (outcome == RunOutcome::Done)
+        job.done.insert(task.index);
+    if (outcome == RunOutcome::Failed)
+        ++job.failures[task.index];
+}
+
+void Ledger::checkAtEnd()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& it : m_jobs) {
+        const auto rejected = it.second.ends.find(CallEnd::Rejected);
+        const bool onlyRejected = it.second.ends.size() == 1 && rejected != it.second.ends.end();
+        if (onlyRejected && it.second.starts > 0)
+            add("\"not run\" is true", it.first + ": " + std::to_string(it.second.starts) + " starts");
+    }
+    for (const auto& it : m_upstreams)
+        for (const auto& run : it.second.runs)
+            add("nothing runs for nobody", nameOf(run.task, run.number) + " on " + it.first);
+}
+
+std::vector<Violation> Ledger::violations() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_violations;
+}
+
+std::map<CallEnd, size_t> Ledger::answers() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::map<CallEnd, size_t> sum;
+    for (const auto& job : m_jobs)
+        for (const auto& it : job.second.ends)
+            sum[it.first] += it.second;
+    return sum;
+}
+
+size_t Ledger::starts() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_starts;
+}
+
+bool Ledger::hasStarted(const std::string& job) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto it = m_jobs.find(job);
+    return it != m_jobs.end() && it->second.starts > 0;
+}
+
+void VersionLedger::onAcknowledged(TimePoint now, uint64_t version)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_acknowledged.try_emplace(version, now);
+}
+
+uint64_t VersionLedger::acknowledged() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_acknowledged.empty() ? 0 : m_acknowledged.rbegin()->first;
+}
+
+std::string VersionLedger::faultOf(TimePoint sent, uint64_t version) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto it = m_acknowledged.upper_bound(version); it != m_acknowledged.end(); ++it)
+        if (it->second + m_applyLimit <= sent)
+            return "read " + std::to_string(version) + " after " + std::to_string(it->first) + " was acknowledged";
+    return "";
+}
+
+} // namespace fescuegw::soak
--- /dev/null
+++ b/fescuegw/soak/LedgerTest.cpp
@@ -0,0 +1,147 @@
+#include <criterion/criterion.h>
+
+#include "fescuegw/soak/Ledger.h"
+
+namespace fescuegw::soak {
+
+namespace {
+
+    constexpr Resources room { 8000, 1024, 0 };
+    constexpr Resources need { 5000, 64, 0 };
+    const TimePoint start { std::chrono::seconds(100) };
+
+    std::string onlyPromise(const Ledger& ledger)
+    {
+        const auto violations = ledger.violations();
+        return violations.size() == 1 ? violations.front().promise : std::to_string(violations.size()) + " violations";
+    }
+
+    struct Fixture {
+        Fixture()
+        {
+            ledger.onUpstreamStarted("up1", room);
+            ledger.onUpstreamStarted("up2", room);
+            ledger.onSubmitted("a", 2, "text");
+            ledger.onSubmitted("b", 2, "text");
+        }
+
+        void run(const std::string& upstream, const std::string& job, uint32_t index, TimePoint now = start)
+        {
+            ledger.onRunStarted(now, upstream, { job, 0, index }, 1, need, "text", true);
+        }
+
+        void end(const std::string& upstream, const std::string& job, uint32_t index, RunOutcome outcome)
+        {
+            ledger.onRunEnded(upstream, { job, 0, index }, 1, outcome);
+        }
+
+        Ledger ledger;
+    };
+
+} // namespace
+
+Test(ledger, aJobThatIsDoneBreaksNothing)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.run("up2", "a", 1);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    it.end("up2", "a", 1, RunOutcome::Done);
+    it.ledger.onAnswered("a", CallEnd::Completed);
+    it.ledger.onAnswered("b", CallEnd::Rejected);
+    it.ledger.checkAtEnd();
+    cr_assert(it.ledger.violations().empty());
+    cr_assert_eq(it.ledger.starts(), 2U);
+}
+
+Test(ledger, startsOverTheCapacity)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.run("up1", "b", 0);
+    cr_assert(onlyPromise(it.ledger) == "no start over the capacity");
+}
+
+Test(ledger, twoRunsOfATaskAtATime)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.run("up2", "a", 0);
+    cr_assert(onlyPromise(it.ledger) == "no two runs at a time");
+}
+
+Test(ledger, aRestartOfTheUpstreamEndsItsRuns)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.ledger.onUpstreamStarted("up1", room);
+    it.run("up2", "a", 0);
+    cr_assert(it.ledger.violations().empty());
+}
+
+Test(ledger, completedBeforeAllTasksAreDone)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    it.ledger.onAnswered("a", CallEnd::Completed);
+    cr_assert(onlyPromise(it.ledger) == "whole answers");
+}
+
+Test(ledger, failedAfterOneFailureOnly)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.end("up1", "a", 0, RunOutcome::Failed);
+    it.ledger.onAnswered("a", CallEnd::Failed);
+    cr_assert(onlyPromise(it.ledger) == "failures have a cause");
+}
+
+Test(ledger, rejectedAlthoughItRan)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.end("up1", "a", 0, RunOutcome::Broken);
+    it.ledger.onAnswered("a", CallEnd::Rejected);
+    it.ledger.checkAtEnd();
+    cr_assert(onlyPromise(it.ledger) == "\"not run\" is true");
+}
+
+Test(ledger, startsThatNobodyAskedFor)
+{
+    Fixture it;
+    it.run("up1", "c", 0);
+    it.run("up1", "a", 2);
+    it.ledger.onRunStarted(start, "up1", { "a", 0, 0 }, 1, need, "other", true);
+    cr_assert_eq(it.ledger.violations().size(), 3U);
+}
+
+Test(ledger, aStartAfterTheUpstreamsLeavingWasAcknowledged)
+{
+    Fixture it;
+    it.ledger.onLeavingAcknowledged(start, "up1");
+    it.run("up1", "a", 0, start + std::chrono::seconds(1));
+    cr_assert(it.ledger.violations().empty());
+    it.run("up1", "a", 1, start + std::chrono::seconds(3));
+    cr_assert_eq(it.ledger.violations().size(), 2U, "it is over the capacity as well");
+}
+
+Test(ledger, whatStillRunsAtTheEnd)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.ledger.checkAtEnd();
+    cr_assert(onlyPromise(it.ledger) == "nothing runs for nobody");
+}
+
+Test(versionLedger, aReadMayBeOldOnlyWithinTheLimit)
+{
+    VersionLedger it(std::chrono::seconds(2));
+    it.onAcknowledged(start, 5);
+    cr_assert(it.faultOf(start + std::chrono::seconds(1), 4).empty());
+    cr_assert(!it.faultOf(start + std::chrono::seconds(2), 4).empty());
+    cr_assert(it.faultOf(start + std::chrono::seconds(2), 6).empty());
+    cr_assert_eq(it.acknowledged(), 5U);
+}
+
+} // namespace fescuegw::soak
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -69,6 +69,7 @@
         document.reject("replica", "id", "a whole number from 1; the key is missing");
     settings.id = settings.formation ? 0 : document.numberOr("replica", "id", 1, 1);
     settings.listen = document.address("replica", "listen");
+    settings.advertised = document.addressOr("replica", "advertise", settings.listen);
     settings.data = document.text("replica", "data");
     settings.join = document.flagOr("replica", "join", false);
     settings.electionTimeout = milliseconds(document.numberOr("replica", "election-timeout-ms", 1000, 100, 60000));
@@ -150,10 +151,10 @@
     if (!m_settings.formation)
         return m_store.open(m_settings.id);
     const Formation& formation = *m_settings.formation;
-    const bool isSeed = std::find(formation.seeds.begin(), formation.seeds.end(), m_settings.listen) != formation.seeds.end();
+    const bool isSeed = std::find(formation.seeds.begin(), formation.seeds.end(), m_settings.advertised) != formation.seeds.end();
     wire::DiskIdentity fresh;
     fresh.set_identity(randomIdentity());
-    fresh.set_id(formation.firstStart && isSeed ? idOfSeed(m_settings.listen) : idOfJoiner());
+    fresh.set_id(formation.firstStart && isSeed ? idOfSeed(m_settings.advertised) : idOfJoiner());
     if (formation.firstStart && isSeed) {
         for (const auto& it : formation.seeds) {
             wire::Member* member = fresh.mutable_initial_membership()->add_members();
@@ -193,7 +194,7 @@
 {
     m_hub->post([this, seeds = std::move(seeds)](TimePoint /*now*/) {
         for (const auto& it : seeds)
-            if (it != m_settings.listen)
+            if (it != m_settings.advertised)
                 m_contacts.insert(it.text());
     });
 }
@@ -367,7 +368,7 @@
     wire::Member* candidate = envelope.mutable_request()->mutable_join()->mutable_candidate();
     candidate->set_id(m_settings.id);
     candidate->set_identity(m_identity);
-    candidate->set_address(m_settings.listen.text());
+    candidate->set_address(m_settings.advertised.text());
     for (const auto& it : m_contacts)
         m_hub->send({ net::Peer::Direction::Connected, linkTo(it) }, envelope.SerializeAsString());
 }
@@ -375,7 +376,7 @@
 void StateServer::learnReplicas(const wire::StateReply& reply)
 {
     for (const auto& it : reply.member_addresses())
-        if (it != m_settings.listen.text())
+        if (it != m_settings.advertised.text())
             m_contacts.insert(it);
 }
 
--- a/fescuegw/state/StateServer.h
+++ b/fescuegw/state/StateServer.h
@@ -39,6 +39,8 @@
     daemon::ProcessSettings process;
     uint64_t id = 0;
     settings::Address listen;
+    // Where others reach it: `listen`, unless a forwarder stands before it.
+    settings::Address advertised;
     std::string data;
     bool join = false;
     // Addresses of the members that the group starts with, by id.
