--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -315,7 +315,7 @@
         if (!message.more() || !m_sockets->router->recv(message))
             continue;
         // A probe. If the answer can't be sent, the far end opens the link anew.
-        if (message.size() == 0) {
+        if (message.empty()) {
             (void)transmit({ peer, "" });
             continue;
         }
@@ -333,7 +333,7 @@
             break;
         found->second.heard = now;
         found->second.probed = std::nullopt;
-        if (message.size() > 0)
+        if (!message.empty())
             m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
     }
 }
