--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -23,6 +23,8 @@
     // In this many of a hundred series all targets of a kind are struck at once.
     constexpr uint32_t allAtOncePercent = 12;
 
+    // Draws faults for a fleet of a size. The library's distributions differ between implementations, so that none is used: a
+    // seed is to mean the same everywhere.
     class Draw {
     public:
         Draw(uint32_t seed, const FleetSize& size)
@@ -31,7 +33,6 @@
         {
         }
 
-        // The library's distributions differ between implementations; seeds are to mean the same everywhere.
         uint32_t below(uint32_t bound) { return static_cast<uint32_t>(m_random() % bound); }
         Duration between(uint32_t leastMs, uint32_t mostMs)
         {
@@ -80,29 +81,22 @@
         FleetSize m_size;
     };
 
-    bool disturbs(const Fault& fault, Duration from, Duration until)
+    // A disk is lost only when `apart` has passed since the last disturbance of any replica, and before the next one.
+    bool mayFollow(const Fault& earlier, const Fault& later, Duration apart)
     {
-        return fault.target == Target::Replica && fault.at < until && fault.at + fault.length > from;
+        const bool ofReplicas = earlier.target == Target::Replica && later.target == Target::Replica;
+        const bool losesDisk = earlier.kind == FaultKind::WipeDisk || later.kind == FaultKind::WipeDisk;
+        return !ofReplicas || !losesDisk || later.at >= earlier.at + earlier.length + apart;
     }
 
-    // Leaves out losses of disks beyond what is to be borne.
-    void boundLosses(std::vector<Fault>& plan, const PlanOptions& options)
+    // Leaves out losses of disks beyond what is to be borne, and what would strike a replica too soon after one.
+    std::vector<Fault> boundLosses(const std::vector<Fault>& plan, Duration apart)
     {
         std::vector<Fault> kept;
-        for (const auto& it : plan) {
-            const bool wipes = it.kind == FaultKind::WipeDisk;
-            const auto from = it.at - options.betweenWipes;
-            const auto until = it.at + it.length + options.betweenWipes;
-            const bool bears = std::none_of(plan.begin(), plan.end(), [&](const Fault& other) {
-                return &other != &it
-                    && (!wipes ? other.kind == FaultKind::WipeDisk && it.target == Target::Replica && other < it
-                                && disturbs(it, other.at - options.betweenWipes, other.at + other.length + options.betweenWipes)
-                               : other < it && disturbs(other, from, until));
-            });
-            if (bears)
+        for (const auto& it : plan)
+            if (std::all_of(kept.begin(), kept.end(), [&](const Fault& earlier) { return mayFollow(earlier, it, apart); }))
                 kept.push_back(it);
-        }
-        plan = std::move(kept);
+        return kept;
     }
 
 } // namespace
@@ -148,8 +142,7 @@
         }
     }
     std::sort(plan.begin(), plan.end());
-    boundLosses(plan, options);
-    return plan;
+    return boundLosses(plan, options.betweenWipes);
 }
 
 } // namespace fescuegw::soak
