Hub waits on the descriptors of its sockets with epoll

Cause: zmq_poll makes system calls for every socket on every wait. An agent of the large fleet has a socket for each of 55 entries and wakes for each message of any of them, so its cost was entries x messages. Change: one epoll set over the sockets' descriptors; only readable sockets are read, until they are empty, and sockets that were used in another way are checked once after the use. The loop's own thread no longer wakes itself by its eventfd. Counters of waits and socket reads. Test: hub readsOnlyTheLinkThatHasAMessage.

--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -2,9 +2,12 @@
 
 #include <array>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <thread>
+#include <utility>
 
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <zmq.hpp>
@@ -26,6 +29,8 @@
     constexpr int connectTimeoutMs = 200;
     // Messages received from one socket before the next socket is served.
     constexpr int receiveBurst = 512;
+    // Descriptors reported by one wait; the others are reported by the next one.
+    constexpr size_t maxEventsPerWait = 64;
 
     // ZAP handler (ZeroMQ RFC 27) that accepts only the installation's own public key.
     class Authenticator {
@@ -112,6 +117,49 @@
 
     std::string endpoint(const std::string& address) { return "tcp://" + address; }
 
+    // Waits on the descriptors of ZeroMQ sockets. zmq_poll makes system calls for each socket on every wait, which dominates the
+    // cost of a process with many mostly idle links; here a wait costs one system call however many links there are.
+    //
+    // A ZeroMQ descriptor reports commands to the socket, not messages: it becomes readable when a command arrives, and any call
+    // on the socket may consume the command. So a socket has to be read until it is empty when its descriptor is readable, and
+    // has to be checked again after it was used in any other way.
+    class DescriptorSet {
+    public:
+        DescriptorSet()
+            : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+        {
+        }
+        ~DescriptorSet() { close(m_epoll); }
+        DescriptorSet(const DescriptorSet&) = delete;
+        DescriptorSet& operator=(const DescriptorSet&) = delete;
+        DescriptorSet(DescriptorSet&&) = delete;
+        DescriptorSet& operator=(DescriptorSet&&) = delete;
+
+        void add(int descriptor)
+        {
+            epoll_event event {};
+            event.events = EPOLLIN;
+            event.data.fd = descriptor;
+            epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
+        }
+
+        void remove(int descriptor) { epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr); }
+
+        std::vector<int> wait(Duration timeout)
+        {
+            std::array<epoll_event, maxEventsPerWait> events {};
+            const auto ms = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+            const int n = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), ms);
+            std::vector<int> readable;
+            for (int i = 0; i < n; ++i)
+                readable.push_back(events.at(static_cast<size_t>(i)).data.fd);
+            return readable;
+        }
+
+    private:
+        int m_epoll;
+    };
+
 } // namespace
 
 KeyPair generateKeyPair()
@@ -137,6 +185,7 @@
     struct Dealer {
         std::string address;
         std::unique_ptr<zmq::socket_t> socket;
+        int descriptor = -1;
         TimePoint lastHeard;
         // Time of the unanswered probe, if there is one.
         std::optional<TimePoint> probeSentAt;
@@ -146,6 +195,35 @@
     std::unique_ptr<Authenticator> authenticator;
     std::unique_ptr<zmq::socket_t> router;
     std::map<std::string, Dealer> dealers;
+    DescriptorSet descriptors;
+    std::map<int, std::string> dealerNames;
+    // Sockets that may hold messages although their descriptors are not readable.
+    bool routerUnread = false;
+    std::set<std::string> unreadDealers;
+
+    bool hasUnread() const { return routerUnread || !unreadDealers.empty(); }
+
+    static bool hasMessage(const zmq::socket_t& socket) { return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0; }
+
+    // Marks the sockets in `used` that hold messages as unread.
+    void checkUsed(bool routerUsed, const std::set<std::string>& used)
+    {
+        routerUnread = routerUnread || (routerUsed && router && hasMessage(*router));
+        for (const auto& it : used)
+            if (const auto found = dealers.find(it); found != dealers.end() && hasMessage(*found->second.socket))
+                unreadDealers.insert(it);
+    }
+
+    void removeDealer(const std::string& name)
+    {
+        const auto found = dealers.find(name);
+        if (found == dealers.end())
+            return;
+        descriptors.remove(found->second.descriptor);
+        dealerNames.erase(found->second.descriptor);
+        unreadDealers.erase(name);
+        dealers.erase(found);
+    }
 };
 
 Hub::Hub(HubOptions options, HubHooks hooks)
@@ -154,6 +232,7 @@
     , m_sockets(std::make_unique<Sockets>())
     , m_wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
+    m_sockets->descriptors.add(m_wakeDescriptor);
 }
 
 Hub::~Hub()
@@ -183,6 +262,7 @@
             router->set(zmq::sockopt::curve_secretkey, m_options.keys.secretKey);
         }
         router->bind(endpoint(m_options.listen));
+        m_sockets->descriptors.add(router->get(zmq::sockopt::fd));
         m_sockets->router = std::move(router);
     } catch (const zmq::error_t& error) {
         return tl::unexpected(Error { Verdict::NotRun, 500, m_options.listen + ": " + error.what() });
@@ -204,10 +284,14 @@
         dealer->set(zmq::sockopt::curve_secretkey, m_options.keys.secretKey);
     }
     dealer->connect(endpoint(address));
-    m_sockets->dealers[name] = Sockets::Dealer { address, std::move(dealer), monotonicNow(), std::nullopt };
+    const int descriptor = dealer->get(zmq::sockopt::fd);
+    m_sockets->removeDealer(name);
+    m_sockets->dealers[name] = Sockets::Dealer { address, std::move(dealer), descriptor, monotonicNow(), std::nullopt };
+    m_sockets->dealerNames[descriptor] = name;
+    m_sockets->descriptors.add(descriptor);
 }
 
-void Hub::disconnect(const std::string& name) { m_sockets->dealers.erase(name); }
+void Hub::disconnect(const std::string& name) { m_sockets->removeDealer(name); }
 
 bool Hub::isConnected(const std::string& name) const { return m_sockets->dealers.contains(name); }
 
@@ -229,9 +313,10 @@
     wake();
 }
 
+// The loop's own thread needs no wake-up: it handles what was queued before it waits again.
 void Hub::wake()
 {
-    if (m_wakeRequested.exchange(true))
+    if (m_loopThread == std::this_thread::get_id() || m_wakeRequested.exchange(true))
         return;
     const uint64_t one = 1;
     (void)!write(m_wakeDescriptor, &one, sizeof one);
@@ -248,31 +333,19 @@
         it(now);
 }
 
+bool Hub::hasQueued()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return !m_outgoing.empty() || !m_tasks.empty();
+}
+
 void Hub::run()
 {
+    m_loopThread = std::this_thread::get_id();
     while (!m_stopped) {
-        std::vector<zmq::pollitem_t> items;
-        std::vector<std::string> names;
-        items.push_back({ nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0 });
-        for (const auto& it : m_sockets->dealers) {
-            items.push_back({ it.second.socket->handle(), 0, ZMQ_POLLIN, 0 });
-            names.push_back(it.first);
-        }
-        if (m_sockets->router)
-            items.push_back({ m_sockets->router->handle(), 0, ZMQ_POLLIN, 0 });
-        zmq::poll(items, std::chrono::duration_cast<std::chrono::milliseconds>(m_options.tickInterval));
-        if (m_wakeRequested) {
-            uint64_t n = 0;
-            (void)!read(m_wakeDescriptor, &n, sizeof n);
-            m_wakeRequested = false;
-        }
-        const TimePoint now = monotonicNow();
-        if (m_sockets->router && (items.back().revents & ZMQ_POLLIN) != 0)
-            receiveAccepted(now);
-        for (size_t i = 0; i < names.size(); ++i)
-            if ((items[i + 1].revents & ZMQ_POLLIN) != 0)
-                receiveFrom(now, names[i]);
-        probeLinks(now);
+        const bool idle = !hasQueued() && !m_sockets->hasUnread();
+        receiveReadable(m_sockets->descriptors.wait(idle ? m_options.tickInterval : Duration()));
+        probeLinks(monotonicNow());
         runTasks(monotonicNow());
         m_hooks.onBatchEnd(monotonicNow());
         flush(monotonicNow());
@@ -280,18 +353,47 @@
     flush(monotonicNow());
 }
 
+void Hub::receiveReadable(const std::vector<int>& descriptors)
+{
+    bool readRouter = std::exchange(m_sockets->routerUnread, false);
+    std::set<std::string> names;
+    names.swap(m_sockets->unreadDealers);
+    for (const int it : descriptors) {
+        if (it == m_wakeDescriptor) {
+            uint64_t n = 0;
+            (void)!read(m_wakeDescriptor, &n, sizeof n);
+            m_wakeRequested = false;
+        } else if (const auto found = m_sockets->dealerNames.find(it); found != m_sockets->dealerNames.end()) {
+            names.insert(found->second);
+        } else {
+            readRouter = true;
+        }
+    }
+    ++m_counters.waits;
+    m_counters.socketReads += names.size() + (readRouter ? 1 : 0);
+    const TimePoint now = monotonicNow();
+    if (m_sockets->router && readRouter)
+        receiveAccepted(now);
+    for (const auto& it : names)
+        receiveFrom(now, it);
+}
+
 // A probe and its answer are empty messages. Reconnecting loses messages in flight, as a broken connection does.
 void Hub::probeLinks(TimePoint now)
 {
     std::vector<std::pair<std::string, std::string>> unresponsive;
+    std::set<std::string> probed;
     for (auto& it : m_sockets->dealers) {
         Sockets::Dealer& dealer = it.second;
         if (dealer.probeSentAt && now - *dealer.probeSentAt > m_options.probeTimeout)
             unresponsive.emplace_back(it.first, dealer.address);
         else if (!dealer.probeSentAt && now - dealer.lastHeard > m_options.probeTimeout
-            && transmit({ { Peer::Direction::Connected, it.first }, "" }))
+            && transmit({ { Peer::Direction::Connected, it.first }, "" })) {
             dealer.probeSentAt = now;
+            probed.insert(it.first);
+        }
     }
+    m_sockets->checkUsed(false, probed);
     for (const auto& [name, address] : unresponsive) {
         logging::Event(logging::Level::Warn, "link_reopened")
             .with("peer", name)
@@ -310,16 +412,18 @@
 void Hub::receiveAccepted(TimePoint now)
 {
     zmq::message_t message;
-    for (int n = 0; n < receiveBurst && m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
+    for (int n = 0; m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
+        m_sockets->routerUnread = n + 1 == receiveBurst;
         const Peer peer { Peer::Direction::Accepted, message.to_string() };
-        if (!message.more() || !m_sockets->router->recv(message))
-            continue;
-        // A probe. If the answer cannot be sent, the peer reconnects.
-        if (message.empty()) {
-            (void)transmit({ peer, "" });
-            continue;
+        if (message.more() && m_sockets->router->recv(message)) {
+            // An empty message is a probe. If the answer cannot be sent, the peer reconnects.
+            if (message.empty())
+                (void)transmit({ peer, "" });
+            else
+                m_hooks.onMessage(now, peer, message.to_string());
         }
-        m_hooks.onMessage(now, peer, message.to_string());
+        if (m_sockets->routerUnread)
+            return;
     }
 }
 
@@ -330,12 +434,13 @@
         // A hook may have disconnected the peer in the meantime.
         const auto found = m_sockets->dealers.find(name);
         if (found == m_sockets->dealers.end() || !found->second.socket->recv(message, zmq::recv_flags::dontwait))
-            break;
+            return;
         found->second.lastHeard = now;
         found->second.probeSentAt = std::nullopt;
         if (!message.empty())
             m_hooks.onMessage(now, Peer { Peer::Direction::Connected, name }, message.to_string());
     }
+    m_sockets->unreadDealers.insert(name);
 }
 
 void Hub::flush(TimePoint now)
@@ -345,9 +450,17 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         outgoing.swap(m_outgoing);
     }
-    for (const auto& it : outgoing)
+    bool routerUsed = false;
+    std::set<std::string> used;
+    for (const auto& it : outgoing) {
+        if (it.peer.direction == Peer::Direction::Connected)
+            used.insert(it.peer.name);
+        else
+            routerUsed = true;
         if (!transmit(it))
             m_hooks.onUndeliverable(now, it.peer, it.message);
+    }
+    m_sockets->checkUsed(routerUsed, used);
 }
 
 bool Hub::transmit(const Outgoing& outgoing)
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fescuegw/base/Types.h"
@@ -62,6 +63,12 @@
     std::function<void(TimePoint)> onBatchEnd;
 };
 
+// Counts since the loop started: what an idle or busy process spends its time on.
+struct HubCounters {
+    std::atomic<uint64_t> waits { 0 };
+    std::atomic<uint64_t> socketReads { 0 };
+};
+
 // Event loop over the ZeroMQ sockets of one process. Hooks run on the thread that calls `run`. Both ends of a link must be hubs,
 // since they answer each other's probes. `send`, `post` and `stop` are thread-safe; `connect` and `disconnect` may be called only
 // before `run` or on its thread.
@@ -94,6 +101,9 @@
     void run();
     void stop();
 
+    // Thread-safe.
+    const HubCounters& counters() const { return m_counters; }
+
 private:
     struct Sockets;
     struct Outgoing {
@@ -102,6 +112,8 @@
     };
 
     void wake();
+    bool hasQueued();
+    void receiveReadable(const std::vector<int>& descriptors);
     void probeLinks(TimePoint now);
     void receiveAccepted(TimePoint now);
     void receiveFrom(TimePoint now, const std::string& name);
@@ -115,6 +127,8 @@
     std::vector<Outgoing> m_outgoing;
     std::vector<std::function<void(TimePoint)>> m_tasks;
     std::atomic<bool> m_wakeRequested { false };
+    std::atomic<std::thread::id> m_loopThread;
+    HubCounters m_counters;
     std::atomic<bool> m_stopped { false };
     int m_wakeDescriptor = -1;
 };
--- a/fescuegw/net/HubTest.cpp
+++ b/fescuegw/net/HubTest.cpp
@@ -1,6 +1,8 @@
 // Links through a forwarder that still acknowledges data but stops forwarding it, and idle links.
 #include <atomic>
+#include <memory>
 #include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -96,6 +98,39 @@
     cr_assert_eq(server.m_emptyReceived + client.m_emptyReceived, 0, "probe delivered as a message");
 }
 
+// An agent of a large fleet has links to many entries, and is woken many times a second by a few of them. Its cost may depend on
+// the messages, but not on the number of links.
+Test(hub, readsOnlyTheLinkThatHasAMessage)
+{
+    constexpr int idleLinks = 40;
+    constexpr int messages = 40;
+    constexpr uint64_t readsPerMessage = 6;
+    constexpr uint64_t readsPerIdleLink = 4;
+    HubOptions options;
+    options.probeTimeout = exchangeTimeout;
+    options.identity = "client";
+    Node client(options);
+    std::vector<std::unique_ptr<Node>> servers;
+    for (int i = 0; i <= idleLinks; ++i) {
+        const uint16_t port = relay::freePort();
+        const std::string name = i == 0 ? "server" : "idle-" + std::to_string(i);
+        options.identity = name;
+        options.listen = loopback(port);
+        servers.push_back(std::make_unique<Node>(options));
+        cr_assert(servers.back()->m_hub.start().has_value());
+        servers.back()->run();
+        client.m_hub.connect(name, loopback(port));
+    }
+    client.run();
+    cr_assert(client.exchange());
+    const uint64_t before = client.m_hub.counters().socketReads;
+    const int receivedBefore = client.m_received;
+    for (int i = 0; i < messages; ++i)
+        cr_assert(client.exchange());
+    const auto received = static_cast<uint64_t>(client.m_received - receivedBefore);
+    cr_assert_leq(client.m_hub.counters().socketReads - before, received * readsPerMessage + readsPerIdleLink * idleLinks);
+}
+
 Test(hub, keepsIdleLinks)
 {
     const uint16_t port = relay::freePort();
