Agents no longer ask the state group for the routing

Cause: an agent's heartbeat claimed to know routing version 0, so the leader sent the whole routing to each of 240 agents after every change, though only entries use it. Change: a client without a hook for routing claims to know every version. Test: asksForRoutingOnlyWhenItIsUsed.

--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -1,6 +1,7 @@
 #include "fescuegw/group/StateClient.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace fescuegw::group {
 
@@ -183,7 +184,9 @@
     heartbeat.set_known_revision(m_revision);
     heartbeat.set_known_entries_revision(m_entriesRevision);
     heartbeat.set_configuration_version(m_configurationVersion);
-    heartbeat.set_known_routing_version(m_routingVersion);
+    // A process without use for the routing, such as an agent, claims to know any version: with many agents, a change of a large
+    // routing would occupy the leader for seconds.
+    heartbeat.set_known_routing_version(m_hooks.onRouting ? m_routingVersion : std::numeric_limits<uint64_t>::max());
     m_hooks.send(m_replicas[m_targetIndex], request);
 }
 
--- a/fescuegw/group/StateClientTest.cpp
+++ b/fescuegw/group/StateClientTest.cpp
@@ -1,4 +1,5 @@
 // Tests how a client finds the leader of a state group that is starting.
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -74,3 +75,18 @@
     fixture.client->onReply(at(62), "b", reply);
     cr_assert_eq(results, 1);
 }
+
+// A change of a large routing while many agents ask for the list of entries: agents have no use for the routing.
+Test(StateClient, asksForRoutingOnlyWhenItIsUsed)
+{
+    ClientFixture agent;
+    agent.flush(at(0));
+    cr_assert_eq(agent.sent.back().second.heartbeat().known_routing_version(), std::numeric_limits<uint64_t>::max());
+    std::vector<wire::StateRequest> sent;
+    StateClientHooks hooks;
+    hooks.send = [&sent](const std::string&, const wire::StateRequest& it) { sent.push_back(it); };
+    hooks.onRouting = [](TimePoint, const wire::Routing&) {};
+    StateClient entry({}, { "a" }, hooks);
+    entry.flush(at(0), wire::EntryInfo());
+    cr_assert_eq(sent.back().heartbeat().known_routing_version(), 0U);
+}
