Agents work with a subset of the entries, and offers follow the rate of starts

Cause: 55 entries x 240 agents are 13,200 links, and each entry received 400 offers a second whether it placed tasks or not. Change: an agent links to 12 entries, selected by rendezvous hashing evenly over failure domains; small fleets are used whole. Entries outside of the subset are told that the agent accepts nothing, and the link ends once they have been silent for 2 s. An entry asks for 60 offers a second plus two for each start, 400 at most. Demand is not sent to agents that accept nothing. Two tests changed: the offer interval test held the exact figures of the former formula and now holds its properties; asksNoAgentForMoreThanItsShare sets the flag accepting, which now matters.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -34,7 +34,8 @@
     ArbiterSettings settings;
     settings.process = daemon::readProcessSettings(document);
     settings.seeds = group::readSeeds(document);
-    settings.offerInterval = std::chrono::milliseconds(document.numberOr("agent", "offer-ms", 40, 20, 1000));
+    settings.links.offerInterval = std::chrono::milliseconds(document.numberOr("agent", "offer-ms", 40, 20, 1000));
+    settings.links.subset.size = document.numberOr("agent", "entries", settings.links.subset.size, 1, 1000);
     settings.orderThreads = document.numberOr("agent", "order-threads", 3, 1, 32);
     settings.drainLimit = std::chrono::milliseconds(document.numberOr("agent", "drain-limit-ms", 4500, 0, 3600000));
     return settings;
@@ -54,7 +55,7 @@
                   m_links.grant(entry, it);
               },
           })
-    , m_links(EntryLinksOptions { .offerInterval = m_settings.offerInterval })
+    , m_links(m_settings.process.name, m_settings.links)
     , m_done(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "done"))
     , m_failed(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "failed"))
     , m_lost(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "lost"))
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -23,8 +23,7 @@
     daemon::ProcessSettings process;
     // Addresses at which replicas of the state group may be reached.
     std::vector<settings::Address> seeds;
-    // Interval between offers to an entry that has not requested one.
-    Duration offerInterval {};
+    EntryLinksOptions links;
     // Threads that send orders to the upstream.
     size_t orderThreads = 0;
     // Upper bound on the duration of a graceful stop.
--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -13,13 +13,18 @@
 {
     std::vector<wire::EntryInfo> found;
     for (auto& it : m_links)
-        it.second.listed = false;
-    for (const auto& it : view.entries()) {
+        it.second.listed = it.second.selected = false;
+    for (const auto& it : view.entries())
+        if (const auto link = m_links.find(it.address()); link != m_links.end())
+            link->second.listed = true;
+    for (const auto& it : selectEntries(m_agent, view, m_options.subset)) {
         const auto [link, added] = m_links.try_emplace(it.address());
-        link->second.listed = true;
+        link->second.listed = link->second.selected = true;
         if (!added)
             continue;
         link->second.lastHeardAt = now;
+        link->second.firstReport = m_discardedReports + 1;
+        link->second.discardedReports = m_discardedReports;
         found.push_back(it);
         Event(Level::Info, "entry_linked").with("entry", it.entry()).with("address", it.address());
     }
@@ -34,12 +39,14 @@
     Link& link = found->second;
     link.lastHeardAt = now;
     if (link.entry != message.entry()) {
-        // Another process at this address: the callers of the previous one no longer wait for its reports.
         Event(Level::Info, "entry_known").with("entry", message.entry()).with("before", link.entry);
+        // Another process at this address: the callers of the previous one no longer wait for its reports.
+        if (!link.entry.empty()) {
+            link.reports.clear();
+            link.firstReport = link.discardedReports + 1;
+            link.seenSequence = 0;
+        }
         link.entry = message.entry();
-        link.reports.clear();
-        link.firstReport = 1;
-        link.seenSequence = 0;
     }
     link.seenSequence = std::max(link.seenSequence, message.sequence());
     const uint64_t acknowledged = std::max(message.acked_reports() + 1, link.firstReport) - link.firstReport;
@@ -92,7 +99,10 @@
         message.set_clock_us(toMicros(now));
         message.set_seen_sequence(link.seenSequence);
         *message.mutable_offer() = *current;
+        if (link.listed && !link.selected)
+            message.mutable_offer()->set_accepting(false);
         message.set_first_report(link.firstReport);
+        message.set_discarded_reports(link.discardedReports);
         for (const auto& report : link.reports)
             *message.add_reports() = report;
         for (const auto& grant : link.grants)
@@ -109,10 +119,13 @@
 {
     std::vector<std::string> expired;
     for (auto it = m_links.begin(); it != m_links.end();) {
-        if (it->second.listed || now - it->second.lastHeardAt < m_options.unlistedRetention) {
+        const Link& link = it->second;
+        const Duration retention = link.listed ? m_options.surplusRetention : m_options.unlistedRetention;
+        if (link.selected || now - link.lastHeardAt < retention) {
             ++it;
             continue;
         }
+        m_discardedReports = std::max(m_discardedReports, link.firstReport + link.reports.size() - 1);
         Event(Level::Info, "entry_unlinked").with("entry", it->second.entry).with("address", it->first);
         expired.push_back(it->first);
         it = m_links.erase(it);
--- a/fescuegw/arbiter/EntryLinks.h
+++ b/fescuegw/arbiter/EntryLinks.h
@@ -11,6 +11,7 @@
 #include <control.pb.h>
 #include <direct.pb.h>
 
+#include "fescuegw/arbiter/EntrySubset.h"
 #include "fescuegw/base/Types.h"
 
 namespace fescuegw::arbiter {
@@ -23,20 +24,26 @@
     // The link of an unlisted entry is kept for this long after its last message: the entry may be cut off from the state group
     // only.
     Duration unlistedRetention { std::chrono::seconds(10) };
+    // The link of a listed entry that is no longer in the agent's subset is kept for this long after its last message. An entry
+    // with attempts at the agent sends several messages a second.
+    Duration surplusRetention { std::chrono::seconds(2) };
+    EntrySubsetOptions subset;
 };
 
-// Sends reports to each entry until it has acknowledged them, with the agent's current offer in each message. Entries are
-// identified by the addresses that they listen on. Not thread-safe.
+// Sends reports to each entry of the agent's subset until it has acknowledged them, with the agent's current offer in each
+// message. Entries are identified by the addresses that they listen on. Not thread-safe.
 class EntryLinks {
 public:
     using SendHook = std::function<void(const std::string& address, const wire::UpstreamToEntry&)>;
 
-    explicit EntryLinks(EntryLinksOptions options = {})
-        : m_options(options)
+    // `agent` is the name by which the subset is selected.
+    explicit EntryLinks(std::string agent, EntryLinksOptions options = {})
+        : m_agent(std::move(agent))
+        , m_options(options)
     {
     }
 
-    // Applies the list of entries. Returns the new ones, for the caller to connect to.
+    // Applies the list of entries. Returns the new ones of the subset, for the caller to connect to.
     std::vector<wire::EntryInfo> onView(TimePoint now, const wire::View&);
 
     // Applies the acknowledgements and the offer interval of an entry. Returns false when no entry is known at `address`.
@@ -50,7 +57,8 @@
     // Sends the messages that are due. `offer` is called once if there are any.
     void send(TimePoint now, const AgentId& self, const std::function<wire::UpstreamOffer()>& offer, const SendHook&);
 
-    // Removes the links of unlisted, unresponsive entries. Returns their addresses, for the caller to disconnect.
+    // Removes the links of unresponsive entries that are unlisted or not in the subset. Returns their addresses, for the caller
+    // to disconnect.
     std::vector<std::string> expire(TimePoint now);
 
     bool empty() const { return m_links.empty(); }
@@ -61,6 +69,8 @@
         // Identity of the process that sent the last message on this link.
         std::string entry;
         bool listed = true;
+        // In the agent's subset. To other listed entries the upstream is offered as not accepting tasks.
+        bool selected = true;
         TimePoint lastHeardAt;
         TimePoint offerDue;
         // As requested by the entry; zero until it has done so.
@@ -68,6 +78,8 @@
         TimePoint retryDue;
         uint64_t seenSequence = 0;
         uint64_t firstReport = 1;
+        // See UpstreamToEntry.discarded_reports.
+        uint64_t discardedReports = 0;
         std::vector<wire::AttemptReport> reports;
         std::vector<wire::Grant> grants;
         bool sendNow = false;
@@ -75,8 +87,11 @@
 
     Link* findLink(const std::string& entry);
 
+    std::string m_agent;
     EntryLinksOptions m_options;
     std::map<std::string, Link> m_links;
+    // Highest report number of removed links. New links use higher ones, since an entry may still know those of a former link.
+    uint64_t m_discardedReports = 0;
 };
 
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/EntryLinksTest.cpp
+++ b/fescuegw/arbiter/EntryLinksTest.cpp
@@ -14,6 +14,13 @@
 
 constexpr const char* address = "10.0.0.1:1";
 
+wire::UpstreamOffer acceptingOffer()
+{
+    wire::UpstreamOffer offer;
+    offer.set_accepting(true);
+    return offer;
+}
+
 struct Agent {
     Agent() { links.onView(now, view(true)); }
 
@@ -44,7 +51,7 @@
     void send()
     {
         links.send(
-            now, { "agent", 1 }, [] { return wire::UpstreamOffer(); },
+            now, { "agent", 1 }, [] { return acceptingOffer(); },
             [this](const std::string&, const wire::UpstreamToEntry& it) { sent.push_back(it); });
     }
 
@@ -55,7 +62,7 @@
     }
 
     TimePoint now { std::chrono::hours(1) };
-    EntryLinks links;
+    EntryLinks links { "agent" };
     std::vector<wire::UpstreamToEntry> sent;
 };
 
@@ -135,3 +142,55 @@
     cr_assert_eq(agent.links.expire(agent.now), std::vector<std::string> { address });
     cr_assert(agent.links.empty());
 }
+
+// A rolling restart of the entries changes every agent's subset. An entry whose agents left without notice would lose the tasks
+// it runs there, and would offer work to agents that no longer listen.
+Test(EntryLinks, anEntryOutsideTheSubsetIsReleasedFirst)
+{
+    Agent agent;
+    const EntryLinksOptions options;
+    agent.receive("e/1", 0);
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.send();
+    cr_assert_eq(agent.sent.back().first_report(), 1);
+    agent.receive("e/1", 1);
+    wire::View view;
+    for (size_t n = 0; n < 8 * options.subset.size; ++n)
+        view.add_entries()->set_address("10.0.1." + std::to_string(n) + ":1");
+    view.add_entries()->set_address(address);
+    // Stopping entries are outside of the subset while there are enough others.
+    view.mutable_entries(view.entries_size() - 1)->set_draining(true);
+    cr_assert_eq(agent.links.onView(agent.now, view).size(), options.subset.size);
+    for (int i = 0; i < 10; ++i) {
+        agent.receive("e/1", 1);
+        agent.advance(1000);
+        cr_assert(agent.links.expire(agent.now).empty());
+    }
+    agent.advance(2001);
+    cr_assert_eq(agent.links.expire(agent.now), std::vector<std::string> { address });
+    // After a return, reports continue with numbers that the entry has not seen.
+    agent.links.onView(agent.now, Agent::view(true));
+    agent.receive("e/1", 1);
+    cr_assert(agent.links.allAcknowledged());
+    agent.report("e/1", wire::ATTEMPT_DONE);
+    agent.receive("e/1", 1);
+    cr_assert(!agent.links.allAcknowledged(), "a report that was not sent counts as acknowledged");
+}
+
+Test(EntryLinks, anEntryOutsideTheSubsetIsOfferedNothing)
+{
+    Agent agent;
+    wire::View view;
+    for (size_t n = 0; n < 2 * EntryLinksOptions().subset.size; ++n)
+        view.add_entries()->set_address("10.0.1." + std::to_string(n) + ":1");
+    wire::EntryInfo& stopping = *view.add_entries();
+    stopping.set_address(address);
+    stopping.set_draining(true);
+    agent.links.onView(agent.now, view);
+    agent.advance(1000);
+    size_t accepting = 0;
+    for (const auto& it : agent.sent)
+        accepting += it.offer().accepting() ? 1 : 0;
+    cr_assert_eq(agent.sent.size(), EntryLinksOptions().subset.size + 1);
+    cr_assert_eq(accepting, EntryLinksOptions().subset.size);
+}
--- a/fescuegw/direct/DemandNotifier.cpp
+++ b/fescuegw/direct/DemandNotifier.cpp
@@ -22,6 +22,8 @@
         round.due = now;
         return due;
     }
+    // The link of an agent that accepts nothing may be about to end; demand would keep it open.
+    std::erase_if(agents, [](const auto& it) { return !it->second.offer.accepting(); });
     const size_t n = std::min(
         agents.size(), std::clamp(m_options.agentsPerTask * waiting.tasks(), m_options.minAgents, m_options.maxAgents));
     round.share = waiting;
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -118,6 +118,7 @@
     info.set_entry(m_identity);
     info.set_address(m_settings.advertised.text());
     info.set_draining(m_draining);
+    info.set_domain(m_settings.process.domain);
     return info;
 }
 
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -159,6 +159,7 @@
     task.stopping = false;
     ++job.steps[step].tasksPerAgent[placed.agent];
     ++job.outstanding;
+    m_offerPace.onStart();
     OfferTable::onSent(*view, demand.need, grant != 0);
     wire::StartTask& start = *outbox(placed.agent).add_starts();
     *start.mutable_key()
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -22,9 +22,9 @@
     // A restarted agent ends the attempts of its previous process before it accepts tasks.
     if (message.offer().accepting()) {
         std::vector<AgentId> earlier;
-        for (const auto& it : m_offers.agents())
-            if (it.first.name == id.name && it.first.incarnation < id.incarnation && it.second.attempts > 0)
-                earlier.push_back(it.first);
+        for (auto it = m_offers.agents().lower_bound({ id.name, 0 }); it != m_offers.agents().end() && it->first < id; ++it)
+            if (it->second.attempts > 0)
+                earlier.push_back(it->first);
         for (const auto& it : earlier)
             onAgentLost(now, it, "agent_restarted");
     }
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -16,6 +16,7 @@
     , m_hooks(std::move(hooks))
     , m_admission(options.admission)
     , m_offers(options.offers)
+    , m_offerPace(options.offerPace)
     , m_placement(options.placement, m_hooks.random)
     , m_demandNotifier(options.demand)
 {
@@ -226,20 +227,20 @@
     std::erase_if(m_jobs, [](const auto& it) { return it.second.answered && it.second.outstanding == 0; });
 }
 
-Duration JobTable::offerInterval() const
+uint32_t JobTable::offerIntervalMs(const AgentView& view) const
 {
-    const Duration even = Duration(std::chrono::seconds(m_offers.agents().size())) / m_options.offersPerSecond;
-    return std::clamp(even, m_options.minOfferInterval, m_options.maxOfferInterval);
+    return static_cast<uint32_t>(toMs(m_offerPace.interval(m_offers.agents().size(), view.attempts > 0)));
 }
 
 // Prepares messages to the agents for which a lease renewal, a changed offer interval or changed demand is due.
 void JobTable::addDueMessages(TimePoint now)
 {
     m_messageCheckDue = now + m_options.messageCheckInterval;
-    const auto interval = static_cast<uint32_t>(toMs(offerInterval()));
+    m_offerPace.update(now);
     for (const auto& it : m_offers.agents()) {
         const AgentView& view = it.second;
-        if ((view.replyDue || view.sentOfferInterval != interval) && now - view.lastSent >= m_options.minReplyInterval)
+        if ((view.replyDue || view.sentOfferInterval != offerIntervalMs(view))
+            && now - view.lastSent >= m_options.minReplyInterval)
             outbox(it.first);
     }
     for (auto it = m_waitingServices.begin(); it != m_waitingServices.end();) {
@@ -259,7 +260,7 @@
         message.set_sequence(++view->lastSequence);
     message.set_seen_clock_us(view->seenClockUs);
     message.set_acked_reports(view->ackedReports);
-    view->sentOfferInterval = static_cast<uint32_t>(toMs(offerInterval()));
+    view->sentOfferInterval = offerIntervalMs(*view);
     message.set_offer_interval_ms(view->sentOfferInterval);
     wire::Demand demand = m_demandNotifier.demandFor(now, *view);
     if (demand.tasks() > 0)
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -14,6 +14,7 @@
 #include "fescuegw/direct/Admission.h"
 #include "fescuegw/direct/DemandNotifier.h"
 #include "fescuegw/direct/Job.h"
+#include "fescuegw/direct/OfferPace.h"
 #include "fescuegw/direct/OfferTable.h"
 #include "fescuegw/direct/PendingTaskQueue.h"
 #include "fescuegw/direct/Placement.h"
@@ -31,12 +32,7 @@
     // Shortest time between two messages to an agent that only renew its lease for this entry or change its offer interval.
     // Together with the age of the echoed clock, this is under half of the agent's lease.
     Duration minReplyInterval { std::chrono::milliseconds(180) };
-    // Offers per second from all agents together, and the bounds of each agent's offer interval. At about 20 us per offer,
-    // offers cost 1% of a core at any number of agents up to the one at which `maxOfferInterval` is reached; the more agents,
-    // the older their offers.
-    uint32_t offersPerSecond = 400;
-    Duration minOfferInterval { std::chrono::milliseconds(40) };
-    Duration maxOfferInterval { std::chrono::milliseconds(250) };
+    OfferPaceOptions offerPace;
     // Time between two checks of jobs and agents for expired time limits.
     Duration tickInterval { std::chrono::milliseconds(10) };
     DemandNotifierOptions demand;
@@ -186,7 +182,7 @@
     void stopAttempt(const Job&, size_t step, size_t index);
     void release(Task&);
     void onAgentLost(TimePoint now, const AgentId&, const std::string& reason);
-    Duration offerInterval() const;
+    uint32_t offerIntervalMs(const AgentView&) const;
     wire::EntryToUpstream& outbox(const AgentId&);
     void addDueMessages(TimePoint now);
     void transmit(TimePoint now, const AgentId&, wire::EntryToUpstream);
@@ -196,6 +192,7 @@
     JobTableHooks m_hooks;
     Admission m_admission;
     OfferTable m_offers;
+    OfferPace m_offerPace;
     Placement m_placement;
     DemandNotifier m_demandNotifier;
     PendingTaskQueue m_queue;
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -422,6 +422,7 @@
         wire::UpstreamToEntry message;
         message.set_agent("agent" + std::to_string(n));
         message.mutable_offer()->set_service("s");
+        message.mutable_offer()->set_accepting(true);
         offers.onMessage(now, message);
     }
     for (uint32_t tasks = 1; tasks < 200; ++tasks) {
@@ -449,7 +450,11 @@
         entry.advance(200);
         return entry.offerInterval[{ "agent0", 7 }];
     };
-    cr_assert_eq(intervalFor(11), 40);
-    cr_assert_eq(intervalFor(75), 187);
-    cr_assert_eq(intervalFor(200), 250);
+    cr_assert_lt(intervalFor(11), intervalFor(75));
+    cr_assert_leq(intervalFor(75), intervalFor(200));
+    // Agents whose last offer is older are not used.
+    cr_assert_lt(intervalFor(200) + 100, toMs(OfferTableOptions().maxOfferAge));
+    const double offersPerSecond = OfferPaceOptions().maxOffersPerSecond;
+    cr_assert_leq(11 * 1000.0 / intervalFor(11), offersPerSecond);
+    cr_assert_leq(75 * 1000.0 / intervalFor(75), offersPerSecond);
 }
--- a/fescuegw/direct/OfferTable.cpp
+++ b/fescuegw/direct/OfferTable.cpp
@@ -22,6 +22,7 @@
     // Reports from before the agent was known, or from while it was forgotten, are obsolete and count as received.
     if (added && message.first_report() > 0)
         view.ackedReports = message.first_report() - 1;
+    view.ackedReports = std::max(view.ackedReports, message.discarded_reports());
     const auto reports = static_cast<uint64_t>(message.reports_size());
     if (reports > 0 && message.first_report() <= view.ackedReports + 1)
         view.ackedReports = std::max(view.ackedReports, message.first_report() + reports - 1);
--- a/fescuegw/direct/OfferTable.h
+++ b/fescuegw/direct/OfferTable.h
@@ -44,7 +44,7 @@
 
 struct OfferTableOptions {
     // Agents whose last offer is older than this are not used. Spans several offer intervals.
-    Duration maxOfferAge { std::chrono::milliseconds(500) };
+    Duration maxOfferAge { std::chrono::milliseconds(600) };
     // An agent without attempts is forgotten after this silence.
     Duration silentAgentRetention { std::chrono::seconds(10) };
 };
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -63,7 +63,7 @@
 struct LoadModel::AgentHost {
     AgentId id;
     size_t index = 0;
-    EntryLinks links;
+    EntryLinks links { "" };
     std::unique_ptr<RunTable> table;
     std::map<StepTask, int64_t> needs;
     // State of the simulated upstream.
@@ -101,6 +101,7 @@
         wire::EntryInfo& info = *view.add_entries();
         info.set_entry(host.identity);
         info.set_address(host.address);
+        info.set_domain("domain" + std::to_string(n % m_options.domains));
         m_entries.push_back(std::move(entry));
         schedule(
             tickInterval * static_cast<int64_t>(n) / static_cast<int64_t>(m_options.entries), [this, &host] { tickEntry(host); });
@@ -109,6 +110,7 @@
         auto agent = std::make_unique<AgentHost>();
         AgentHost& host = *agent;
         host.id = { "agent" + std::to_string(n), 1 };
+        host.links = EntryLinks(host.id.name);
         host.index = n;
         RunTableHooks hooks;
         hooks.start = [this, &host](uint64_t serial, const StartOrder& it) {
@@ -123,7 +125,7 @@
         for (const auto& it : m_entries) {
             wire::EntryToUpstream hello;
             hello.set_entry(it->identity);
-            host.links.onMessage(m_now, it->address, hello);
+            (void)host.links.onMessage(m_now, it->address, hello);
         }
         m_agents.push_back(std::move(agent));
         schedule(tickInterval * static_cast<int64_t>(n) / static_cast<int64_t>(m_options.agents), [this, &host] {
@@ -138,6 +140,8 @@
             tickAgent(host);
         });
     }
+    for (size_t n = 0; n < m_options.callers; ++n)
+        m_callers.push_back(m_random() % m_entries.size());
     schedule(std::chrono::milliseconds(500), [this] { generateArrival(); });
 }
 
@@ -186,7 +190,7 @@
         }
         drawn -= it.weight;
     }
-    EntryHost& entry = *m_entries[m_random() % m_entries.size()];
+    EntryHost& entry = entryOfNextArrival();
     const JobClass job = *chosen;
     schedule(m_options.linkDelay,
         [this, &entry, job] { runOnEntry(entry, m_options.jobCost, [this, &entry, job] { submit(entry, job); }); });
@@ -194,6 +198,13 @@
     schedule(std::chrono::microseconds(static_cast<int64_t>(gap * 1e6)), [this] { generateArrival(); });
 }
 
+LoadModel::EntryHost& LoadModel::entryOfNextArrival()
+{
+    if (m_callers.empty())
+        return *m_entries[m_random() % m_entries.size()];
+    return *m_entries[m_callers[m_random() % m_callers.size()]];
+}
+
 void LoadModel::submit(EntryHost& entry, const JobClass& kind)
 {
     const uint64_t number = ++m_lastJob;
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -31,6 +31,9 @@
     uint64_t seed = 1;
     size_t entries = 4;
     size_t agents = 11;
+    size_t domains = 6;
+    // Each caller sends all its jobs to one entry, chosen at random; 0: every job goes to a random entry.
+    size_t callers = 0;
     // Arrival rate over all classes.
     double jobsPerSecond = 0;
     std::vector<JobClass> classes;
@@ -103,6 +106,7 @@
     void schedule(Duration, std::function<void()>);
     double uniform();
     void generateArrival();
+    EntryHost& entryOfNextArrival();
     void submit(EntryHost&, const JobClass&);
     // Runs `work` on the entry's simulated CPU, which is then busy for `cost` divided by its share of a core.
     void runOnEntry(EntryHost&, Duration cost, std::function<void()> work);
@@ -126,6 +130,8 @@
     double m_loadFactor = 1;
     std::priority_queue<Event> m_events;
     std::vector<std::unique_ptr<EntryHost>> m_entries;
+    // Index of each caller's entry.
+    std::vector<size_t> m_callers;
     std::vector<std::unique_ptr<AgentHost>> m_agents;
     // Actual run time of each task of a job, by the job's specification.
     std::map<std::string, Duration> m_actualRunTimes;
--- a/fescuegw/model/LoadModelTest.cpp
+++ b/fescuegw/model/LoadModelTest.cpp
@@ -120,6 +120,20 @@
     cr_assert_leq(static_cast<double>(model.counters().agentMessages), 10 * jobs);
 }
 
+// Pattern: a large fleet at base load. Few callers on many entries make the entries' loads uneven, from none to several times
+// the mean, and each entry reaches a part of the agents only. Nothing may be refused for that while agents are free elsewhere.
+Test(LoadModel, unevenEntriesOfLargeFleetAreOnTime)
+{
+    ModelOptions options = clusterOptions(55, 240, baseLoad, 8);
+    options.callers = 70;
+    LoadModel model(options);
+    measure("large_fleet", model, 1, std::chrono::seconds(2));
+    cr_assert_geq(shareInTime(model), 0.97);
+    const auto jobs = static_cast<double>(model.counters().total().submitted);
+    cr_assert_leq(static_cast<double>(model.counters().entryMessages), 10 * jobs);
+    cr_assert_leq(static_cast<double>(model.counters().agentMessages), 10 * jobs);
+}
+
 // Pattern: a burst beyond the capacity. Excess jobs are refused; the throughput of served jobs must not drop.
 Test(LoadModel, burstBeyondCapacityKeepsThroughput)
 {
