--- a/scenarios/cancel.lua
+++ b/scenarios/cancel.lua
@@ -5,6 +5,13 @@
 c:start()
 local calls = {}
 for i = 1, 10 do calls[i] = c:start_submit(i % 2 + 1, "mizutama", "job" .. i, c:job(50, 2000)) end
+-- A job whose submission is still on its way is unknown, and cancelling it is refused.
+for i = 1, 10 do
+    eventually("job " .. i .. " is accepted", function()
+        local code = host.http("GET", c:url(i % 2 + 1, "mizutama", "job" .. i, "?wait=0"))
+        return code == 200 or code == 202
+    end)
+end
 eventually("tasks run", function() return c:starts().starts >= 16 end)
 local cancels = {}
 for i = 1, 10 do cancels[i] = host.start_call("DELETE", c:url(i % 2 + 1, "mizutama", "job" .. i)) end
