Offer pace of one offer a start; load patterns of the large fleet with its tasks and callers

The model now has the fleet's tasks (15 cores of 64), its 70 callers and callers that crowd on one domain.

--- a/fescuegw/direct/OfferPace.cpp
+++ b/fescuegw/direct/OfferPace.cpp
@@ -34,7 +34,7 @@
         = std::min(m_options.offersPerSecond + m_options.offersPerStart * m_pacedBy, m_options.maxOffersPerSecond);
     const double even = static_cast<double>(agents) * 1e6 / offers;
     const double shortest = static_cast<double>(m_options.minInterval.count());
-    const double steps = std::ceil(std::log(std::max(even / shortest, 1.0)) / std::log(intervalStep));
+    const double steps = std::round(std::log(std::max(even / shortest, 1.0)) / std::log(intervalStep));
     const Duration interval(static_cast<int64_t>(shortest * std::pow(intervalStep, steps)));
     return std::min(interval, hasAttempts ? m_options.maxIntervalWithAttempts : m_options.maxInterval);
 }
--- a/fescuegw/direct/OfferPace.h
+++ b/fescuegw/direct/OfferPace.h
@@ -12,7 +12,7 @@
     // Offers per second from all agents together: a base rate, and a number for each start, up to a limit. At about 20 us per
     // offer, the limit costs 1% of a core at any number of agents.
     double offersPerSecond = 60;
-    double offersPerStart = 2;
+    double offersPerStart = 1;
     double maxOffersPerSecond = 400;
     // Bounds of an agent's interval. The entry's echo of the agent's clock renews the lease of its attempts there, so the
     // interval of an agent with attempts stays well below that lease.
--- a/fescuegw/direct/OfferPaceTest.cpp
+++ b/fescuegw/direct/OfferPaceTest.cpp
@@ -32,7 +32,7 @@
     pace.update(now);
     place(pace, now, 0);
     const double idle = offersPerSecond(pace);
-    place(pace, now, 90);
+    place(pace, now, 200);
     const double usual = offersPerSecond(pace);
     place(pace, now, 1000);
     const double busy = offersPerSecond(pace);
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -34,6 +34,10 @@
     size_t domains = 6;
     // Each caller sends all its jobs to one entry, chosen at random; 0: every job goes to a random entry.
     size_t callers = 0;
+    // Share of the callers whose entries are all in one domain.
+    double crowding = 0;
+    // Mean need of a task, in thousandths of a core.
+    int64_t needMilli = 6200;
     // Arrival rate over all classes.
     double jobsPerSecond = 0;
     std::vector<JobClass> classes;
