--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -151,6 +151,7 @@
             const auto ms = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
             const int n = epoll_wait(m_epoll, events.data(), static_cast<int>(events.size()), ms);
             std::vector<int> readable;
+            readable.reserve(events.size());
             for (int i = 0; i < n; ++i)
                 readable.push_back(events.at(static_cast<size_t>(i)).data.fd);
             return readable;
