--- a/fescuegw/direct/OfferPace.h
+++ b/fescuegw/direct/OfferPace.h
@@ -9,8 +9,8 @@
 namespace fescuegw::direct {
 
 struct OfferPaceOptions {
-    // Offers per second from all agents together: a base rate, and a number for each start, up to a limit. At about 20 us per
-    // offer, the limit costs 1% of a core at any number of agents.
+    // Offers per second from all agents together: a base rate, and a number for each start, up to a limit. With many agents,
+    // the longest intervals below exceed it.
     double offersPerSecond = 60;
     double offersPerStart = 1;
     double maxOffersPerSecond = 400;
