Stops are repeated until the end of the attempt is known

Cause: the stop of a job that was given up met a link that was down and was dropped for good, while the entry renewed the agent's lease for it. A start that was lost in the same way left its attempt outstanding for ever, and later submissions of the job were refused. Change: every message to an agent carries the stops of all attempts whose end is not known, so none renews the lease without them; they are sent every 100 ms if nothing else is. An agent answers the stop of an attempt that it does not know.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -19,6 +19,9 @@
     // Longer than any caller keeps retrying the same job.
     constexpr Duration runNumberRetention = std::chrono::seconds(30);
 
+    // Entries repeat stops until they have the final report of the attempt. This covers its way there and several repeats of it.
+    constexpr Duration settledRetention = std::chrono::seconds(2);
+
     Duration fromMs(uint64_t ms) { return std::chrono::milliseconds(ms); }
 
     TimePoint fromMicros(uint64_t us) { return TimePoint(Duration(static_cast<int64_t>(us))); }
@@ -161,6 +164,35 @@
             sendStop(now, run, "withdrawn");
         return;
     }
+    if (m_settled.contains({ entry, task, key.attempt() }))
+        return;
+    // The start or the final report of the attempt was lost with a link. Nothing runs, but the attempt may have run.
+    Event(Level::Warn, "unknown_attempt_stopped")
+        .with("request", task.job)
+        .with("task", std::to_string(task.step) + "/" + std::to_string(task.index))
+        .with("attempt", key.attempt())
+        .with("entry", entry);
+    settle(now, entry, key);
+    wire::AttemptReport report;
+    *report.mutable_key() = key;
+    report.set_state(wire::ATTEMPT_LOST);
+    report.set_reason("unknown_attempt");
+    m_hooks.report(entry, report);
+}
+
+void RunTable::settle(TimePoint now, const std::string& entry, const wire::AttemptKey& key)
+{
+    const EntryAttempt attempt { entry, wire::toStepTask(key), key.attempt() };
+    if (m_settled.insert(attempt).second)
+        m_settledOrder.emplace_back(now, attempt);
+}
+
+void RunTable::forgetSettled(TimePoint now)
+{
+    while (!m_settledOrder.empty() && now - m_settledOrder.front().first > settledRetention) {
+        m_settled.erase(m_settledOrder.front().second);
+        m_settledOrder.pop_front();
+    }
 }
 
 uint64_t RunTable::nextRunNumber(TimePoint now, const StepTask& task, uint32_t attempt)
@@ -427,6 +459,7 @@
         .with("slowness_percent", m_slowness.percent())
         .with("listing_age_ms", m_lastListingAt ? toMs(now - *m_lastListingAt) : 0);
     const std::string entry = run.entry;
+    settle(now, entry, run.request.key());
     m_runs.erase(it);
     m_hooks.report(entry, report);
 }
@@ -460,6 +493,7 @@
         Event(Level::Warn, "upstream_lost").with("listing_age_ms", toMs(now - *m_lastListingAt)).with("runs", running());
         m_lastListingAt = std::nullopt;
     }
+    forgetSettled(now);
     expireUpstreamLeases(now);
     enforceEntryLeases(now);
     issueGrants(now);
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -113,10 +115,21 @@
         std::string stopReason;
     };
 
+    // Identifies an attempt among those of all entries.
+    struct EntryAttempt {
+        std::string entry;
+        StepTask task;
+        uint32_t number = 0;
+
+        friend auto operator<=>(const EntryAttempt&, const EntryAttempt&) = default;
+    };
+
     using Runs = std::map<uint64_t, Run>;
 
     void onStart(TimePoint now, const std::string& entry, const wire::StartTask&);
     void onStop(TimePoint now, const std::string& entry, const wire::AttemptKey&);
+    void settle(TimePoint now, const std::string& entry, const wire::AttemptKey&);
+    void forgetSettled(TimePoint now);
     void beginIncarnation(TimePoint now, uint64_t bornMs);
     void markRunsLost(TimePoint now, const std::string& reason);
     Runs::iterator find(const StepTask&, uint64_t run);
@@ -151,6 +164,9 @@
     std::map<std::string, TimePoint> m_entryLeases;
     // The last run number of recent tasks; the upstream refuses numbers that are not higher.
     std::map<StepTask, std::pair<uint64_t, TimePoint>> m_runNumbers;
+    // Attempts whose final report was given within `settledRetention`, and the order in which they are forgotten.
+    std::set<EntryAttempt> m_settled;
+    std::deque<std::pair<TimePoint, EntryAttempt>> m_settledOrder;
     uint64_t m_acknowledged = 0;
     size_t m_orphanedRuns = 0;
     TimePoint m_orphansStoppedAt;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -75,6 +75,14 @@
         table.onEntry(now, it);
     }
 
+    void stop(const std::string& entry, const std::string& job)
+    {
+        auto it = message(entry);
+        it.add_stops()->set_job(job);
+        it.mutable_stops(0)->set_attempt(1);
+        table.onEntry(now, it);
+    }
+
     // Accepts the last start.
     void confirm() { table.onStartReply(now, starts.back().first, StartVerdict::Accepted, clock()); }
 
@@ -118,10 +126,7 @@
         agent.start("e1", "job" + std::to_string(n));
         agent.confirm();
     }
-    auto stop = agent.message("e1");
-    stop.add_stops()->set_job("job0");
-    stop.mutable_stops(0)->set_attempt(1);
-    agent.table.onEntry(agent.now, stop);
+    agent.stop("e1", "job0");
     cr_assert_eq(agent.stops.size(), 1);
     agent.start("e1", "next");
     cr_assert_eq(agent.starts.size(), 10);
@@ -439,3 +444,37 @@
     agent.table.onStartReply(agent.now, serial, StartVerdict::Unhealthy, agent.clock());
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
 }
+
+// The start of an attempt was lost with a link. Unless its stop is answered, the entry waits for its end for ever, and refuses
+// every later submission of the job.
+Test(RunTable, theStopOfAnUnknownAttemptIsAnswered)
+{
+    Agent agent;
+    agent.stop("e1", "lost");
+    cr_assert_eq(agent.reports.size(), 1);
+    cr_assert_eq(agent.reports[0].first, "e1");
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST, "it may have run, as far as this agent knows");
+    cr_assert_eq(agent.lastReason(), "unknown_attempt");
+    agent.stop("e1", "lost");
+    cr_assert_eq(agent.reports.size(), 1, "repeated stops are not answered again at once");
+    agent.advance(ms(3000));
+    agent.list({}, {});
+    agent.stop("e1", "lost");
+    cr_assert_eq(agent.reports.size(), 2, "the report may have been discarded with its link");
+}
+
+// Entries repeat a stop until they have the report of the end; the report that is on its way is not contradicted by another.
+Test(RunTable, aRepeatedStopOfAnEndedAttemptIsIgnored)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.stop("e1", "job");
+    agent.stop("e1", "job");
+    cr_assert_eq(agent.stops.size(), 1);
+    agent.list({}, { ended(1, "job", 1, RunEnd::Done) });
+    const size_t before = agent.reports.size();
+    agent.stop("e1", "job");
+    cr_assert_eq(agent.reports.size(), before);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE);
+}
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -42,6 +42,16 @@
         --view->attempts;
 }
 
+void JobTable::confirmStop(const AgentId& agent, const wire::AttemptKey& key)
+{
+    const auto it = m_unconfirmedStops.find(agent);
+    if (it == m_unconfirmedStops.end())
+        return;
+    it->second.erase({ wire::toStepTask(key), key.attempt() });
+    if (it->second.empty())
+        m_unconfirmedStops.erase(it);
+}
+
 void JobTable::applyReport(TimePoint now, const AgentId& agent, const wire::AttemptReport& report)
 {
     const auto it = m_jobs.find(report.key().job());
@@ -62,6 +72,7 @@
     if (report.state() != wire::ATTEMPT_NOT_STARTED)
         onStarted(now - std::chrono::milliseconds(report.run_ms()), job, task);
     release(task);
+    confirmStop(agent, report.key());
     --job.outstanding;
     task.state = report.state() == wire::ATTEMPT_DONE ? TaskState::Done : TaskState::Pending;
     uint32_t& tasksOnAgent = job.steps[step].tasksPerAgent[agent];
@@ -158,8 +169,7 @@
         enqueue(now, job, step, index);
 }
 
-// Starts that never left this host are known not to have run. Later messages repeat acknowledgements. A lost stop is not sent
-// again: its attempt ends by itself, or with the agent's lease for this entry.
+// Starts that never left this host are known not to have run. Later messages repeat acknowledgements and stops.
 void JobTable::onUndeliverable(TimePoint now, const AgentId& agent, const wire::EntryToUpstream& message)
 {
     for (const auto& it : message.starts()) {
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -151,8 +151,9 @@
 void JobTable::stopAttempt(const Job& job, size_t step, size_t index)
 {
     const Task& task = job.steps[step].tasks[index];
-    *outbox(task.agent).add_stops()
-        = wire::toWire({ job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt);
+    const StepTask name { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
+    m_unconfirmedStops[task.agent].insert({ name, task.attempt });
+    outbox(task.agent);
 }
 
 bool JobTable::cancel(TimePoint now, const std::string& id)
@@ -237,6 +238,7 @@
 {
     m_messageCheckDue = now + m_options.messageCheckInterval;
     m_offerPace.update(now);
+    addDueStops(now);
     for (const auto& it : m_offers.agents()) {
         const AgentView& view = it.second;
         if ((view.replyDue || view.sentOfferInterval != offerIntervalMs(view))
@@ -251,6 +253,24 @@
     }
 }
 
+// A stop may be lost with its connection, with or without being reported as undeliverable, so it is sent until the agent has
+// reported the end of the attempt.
+void JobTable::addDueStops(TimePoint now)
+{
+    for (const auto& it : m_unconfirmedStops) {
+        const AgentView* view = m_offers.find(it.first);
+        if (view == nullptr || now - view->lastSent < m_options.stopRepeatInterval)
+            continue;
+        Event(Level::Info, "stops_repeated")
+            .with("agent", toString(it.first))
+            .with("attempts", it.second.size())
+            .with("first", it.second.begin()->task.job)
+            .with("agent_silent_ms", toMs(now - view->lastHeard));
+        ++m_counters.repeatedStops;
+        outbox(it.first);
+    }
+}
+
 void JobTable::transmit(TimePoint now, const AgentId& id, wire::EntryToUpstream message)
 {
     AgentView* view = m_offers.find(id);
@@ -258,6 +278,9 @@
         return;
     if (message.starts_size() > 0)
         message.set_sequence(++view->lastSequence);
+    if (const auto stops = m_unconfirmedStops.find(id); stops != m_unconfirmedStops.end())
+        for (const auto& it : stops->second)
+            *message.add_stops() = wire::toWire(it.task, it.number);
     message.set_seen_clock_us(view->seenClockUs);
     message.set_acked_reports(view->ackedReports);
     view->sentOfferInterval = offerIntervalMs(*view);
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -36,6 +36,8 @@
     // Time between two checks of jobs and agents for expired time limits.
     Duration tickInterval { std::chrono::milliseconds(10) };
     DemandNotifierOptions demand;
+    // Interval after which a stop is sent again to an agent that has been sent nothing else.
+    Duration stopRepeatInterval { std::chrono::milliseconds(100) };
     // Time between two checks of agents for messages that are due by time alone.
     Duration messageCheckInterval { std::chrono::milliseconds(10) };
     // A start that reaches its agent later than this is refused there, since free capacity and queues have changed in the
@@ -71,6 +73,8 @@
     uint64_t unmatchedReports = 0;
     uint64_t movedAttempts = 0;
     uint64_t declinedGrants = 0;
+    // Messages that repeated stops, since the end of the attempts was not known yet.
+    uint64_t repeatedStops = 0;
 };
 
 // Runs each task at most once at a time: the next attempt starts only once the previous one is certain not to be running. All
@@ -134,6 +138,13 @@
         std::map<AgentId, uint32_t> tasksPerAgent;
     };
 
+    struct Attempt {
+        StepTask task;
+        uint32_t number = 0;
+
+        friend auto operator<=>(const Attempt&, const Attempt&) = default;
+    };
+
     struct Caller {
         uint64_t exchange = 0;
         JobResponder respond;
@@ -181,6 +192,8 @@
     void stopAttempts(Job&);
     void stopAttempt(const Job&, size_t step, size_t index);
     void release(Task&);
+    void confirmStop(const AgentId&, const wire::AttemptKey&);
+    void addDueStops(TimePoint now);
     void onAgentLost(TimePoint now, const AgentId&, const std::string& reason);
     uint32_t offerIntervalMs(const AgentView&) const;
     wire::EntryToUpstream& outbox(const AgentId&);
@@ -206,6 +219,9 @@
     // Services with queued tasks, or with queued tasks at the last message check.
     std::set<std::string> m_waitingServices;
     std::map<AgentId, wire::EntryToUpstream> m_outbox;
+    // Attempts that were to be stopped and are not known to have ended. Every message to their agent carries their stops, so
+    // that none renews the agent's lease for this entry without them.
+    std::map<AgentId, std::set<Attempt>> m_unconfirmedStops;
     JobCounters m_counters;
 };
 
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -303,6 +303,70 @@
     cr_assert_eq(entry.stops.size(), 2);
 }
 
+// The link to an agent breaks as a job is given up. A lost stop must not leave its run going while the entry renews the agent's
+// lease for it: the caller sends the job again, and its task would run twice.
+Test(JobTable, stopsAreRepeatedUntilTheEndOfTheAttemptIsKnown)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    wire::EntryToUpstream lost;
+    lost.add_stops()->set_job("j");
+    lost.mutable_stops(0)->set_attempt(1);
+    entry.table.abandon(entry.now, 1);
+    entry.table.flush(entry.now);
+    cr_assert_eq(entry.stops.size(), 1);
+    entry.table.onUndeliverable(entry.now, a1, lost);
+    entry.advance(110);
+    cr_assert_eq(entry.stops.size(), 2, "without any message of the agent");
+    cr_assert_eq(entry.stops[1].second.job(), "j");
+    entry.offer(a1, 64000);
+    // Each message renews the lease, so each carries the stop.
+    entry.submit("other", 1);
+    cr_assert_eq(entry.starts.size(), 2);
+    cr_assert_eq(entry.stops.size(), 3);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_LOST, "withdrawn", 64000);
+    const size_t before = entry.stops.size();
+    entry.advance(500);
+    entry.offer(a1, 64000);
+    cr_assert_eq(entry.stops.size(), before);
+}
+
+// The agent of a stopped attempt is lost: its new process is not asked to stop what it never started.
+Test(JobTable, stopsEndWithTheirAgent)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    entry.table.abandon(entry.now, 1);
+    entry.table.flush(entry.now);
+    entry.advance(1300);
+    const size_t before = entry.stops.size();
+    entry.offer(a1, 64000);
+    entry.advance(200);
+    cr_assert_eq(entry.stops.size(), before);
+    cr_assert_eq(entry.table.size(), 0);
+}
+
+// The start and every report of an attempt were lost with a link. Once the agent has answered its stop, the job can be submitted
+// again.
+Test(JobTable, aJobWithALostStartIsForgottenWhenItsStopIsAnswered)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.table.abandon(entry.now, 1);
+    entry.advance(150);
+    cr_assert_eq(entry.table.size(), 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_LOST, "unknown_attempt", 64000);
+    entry.advance(20);
+    cr_assert_eq(entry.table.size(), 0);
+    entry.submit("j", 1);
+    cr_assert_eq(entry.starts.size(), 2);
+}
+
 // A refusal states that nothing has run, so with a start outstanding it waits for the agent's report.
 Test(JobTable, aRefusalWaitsUntilNothingCanHaveRun)
 {
