An owner repeats the lost cancel of a finishing submission

What callers saw: a task of a cancelled submission could run to its end or its run limit. Found while looking for the cause of the lost stop in the owner's interface. Cause: after messages were lost with a link, the agent lists what it holds. A running task of a submission whose outcome was not durable yet was adopted without being cancelled again, and after the outcome nobody looked at it any more. Change: such a task is cancelled when it is listed, as tasks of submissions that have ended already were.

--- a/fescuegw/dispatch/AgentReturnTest.cpp
+++ b/fescuegw/dispatch/AgentReturnTest.cpp
@@ -32,7 +32,9 @@
         {
             DispatchHooks hooks;
             hooks.sendToAgent = [this](const AgentId&, const wire::EntryToAgent& m) { m_sent.push_back(m); };
-            hooks.propose = [this](const wire::Command&, const ResultHook& hook) {
+            hooks.propose = [this](const wire::Command& command, const ResultHook& hook) {
+                if (command.has_outcome() && m_outcomesWait)
+                    return;
                 wire::CommandResult result;
                 result.set_code(wire::ACCEPTED);
                 hook(m_now, result);
@@ -66,6 +68,7 @@
             for (const auto& it : messages) {
                 const agent::Decision decision = m_table.decide(toMicros(m_now), it, { "pondkeep", 4, true });
                 m_ignored += decision.ignored ? 1 : 0;
+                m_stops += decision.stops.size();
                 if (decision.collect)
                     m_dispatcher.onHeld(m_now, m_agent, m_table.held());
             }
@@ -99,6 +102,9 @@
         ClaimsHook m_loaded;
         uint64_t m_configurationVersion = 0;
         int m_ignored = 0;
+        size_t m_stops = 0;
+        // Outcomes are not decided, as without a majority of the state group.
+        bool m_outcomesWait = false;
         ServiceDispatcher m_dispatcher;
     };
 
@@ -136,4 +142,36 @@
     cr_assert(it.m_table.decide(toMicros(it.m_now), delayed, { "pondkeep", 4, true }).ignored);
 }
 
+// The cancel of a running task is lost with the link, and the outcome of its submission is not yet durable when the agent lists
+// the task: it is cancelled again instead of running to its end.
+Test(agentReturn, aLostCancelOfAFinishingSubmissionIsRepeated)
+{
+    Fixture it;
+    it.report();
+    SubmissionSpec spec;
+    spec.key = { "team", "job" };
+    spec.service = "pondkeep";
+    spec.tasks.emplace_back().set_run_ms(100);
+    wire::TeamConfiguration team;
+    team.set_share(1);
+    team.set_tasks_in_flight_limit(10);
+    wire::ServiceConfiguration& service = *team.add_services();
+    service.set_name(spec.service);
+    service.set_expected_run_ms(100);
+    service.set_queue_limit(10);
+    it.m_dispatcher.submit(it.m_now, spec, team, it.m_now + std::chrono::seconds(60), [](const Reply&) {});
+    it.m_dispatcher.tick(it.m_now);
+    it.exchange();
+    cr_assert_eq(it.m_table.running(), 1U);
+    it.m_outcomesWait = true;
+    cr_assert(it.m_dispatcher.cancel(it.m_now, spec.key));
+    it.m_dispatcher.flush(it.m_now);
+    cr_assert_eq(it.m_sent.size(), 1U);
+    it.m_dispatcher.onUndeliverable(it.m_now, it.m_agent, it.m_sent.front());
+    it.m_sent.clear();
+    it.report();
+    it.exchange();
+    cr_assert_eq(it.m_stops, 1U);
+}
+
 } // namespace fescuegw::dispatch
--- a/fescuegw/dispatch/Recovery.cpp
+++ b/fescuegw/dispatch/Recovery.cpp
@@ -237,6 +237,9 @@
         release(upstream.agent(), ref.key);
         return;
     }
+    // The submission was abandoned, and the cancel may have been lost with the link.
+    if (task.running() && tracked->submission.phase() == Phase::Finishing)
+        sendCancel(upstream.agent(), ref);
     tracked->submission.adoptAttempt(now, position, upstream.agent(), task.attempt());
     if (!task.running())
         applyResult(now, *tracked, nullptr, task);
