A task that is given up before its start is sent never starts

Cause: capacity that becomes free in the pass in which a job reaches its deadline goes to its waiting tasks, and their starts and stops leave in one message. The agent applied the stop first, found no run, and carried the start out. Change: the entry removes a start that is still in its outbox, gives its capacity or grant back, and counts it as not run. The agent ignores a start whose attempt was stopped before, in the same message or an earlier one.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -129,6 +129,15 @@
     if (duplicate)
         return;
     m_grants.release(request.grant());
+    // Stopped before it arrived, or delivered twice: its final report has been given.
+    if (m_settled.contains({ entry, run.task, request.key().attempt() })) {
+        Event(Level::Warn, "settled_start_ignored")
+            .with("request", run.task.job)
+            .with("task", std::to_string(run.task.step) + "/" + std::to_string(run.task.index))
+            .with("attempt", request.key().attempt())
+            .with("entry", entry);
+        return;
+    }
     const std::string reason = refusalReason(now, run);
     const auto added = m_runs.emplace(++m_lastSerial, std::move(run)).first;
     if (!reason.empty()) {
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -478,3 +478,28 @@
     cr_assert_eq(agent.reports.size(), before);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE);
 }
+
+// A job is given up in the moment in which its task is dispatched, so start and stop come in one message. The task must not run
+// for a caller who has gone.
+Test(RunTable, aStartThatComesWithItsStopIsNotCarriedOut)
+{
+    Agent agent;
+    auto it = agent.message("e1");
+    Agent::addStart(it, "job", 6000, agent.now + ms(200));
+    *it.add_stops() = it.starts(0).key();
+    agent.table.onEntry(agent.now, it);
+    cr_assert(agent.starts.empty());
+    cr_assert_eq(agent.reports.size(), 1);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
+}
+
+// Messages of a former link may arrive after those of the next one.
+Test(RunTable, aStartThatArrivesAfterItsStopIsNotCarriedOut)
+{
+    Agent agent;
+    agent.stop("e1", "job");
+    agent.start("e1", "job");
+    cr_assert(agent.starts.empty());
+    agent.start("e2", "job");
+    cr_assert_eq(agent.starts.size(), 1, "the same attempt number of another entry");
+}
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -201,7 +201,7 @@
             ++m_counters.movedAttempts;
             task.moved = true;
             task.stopping = true;
-            stopAttempt(job, step, index);
+            stopAttempt(now, job, step, index);
         }
     }
 }
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -134,7 +134,7 @@
         return;
     if (task.failures >= std::max(job.request.route.attempts(), 1U)) {
         answer(now, job, { JobOutcome::Kind::Failed, "task_failed_" + std::to_string(task.failures) + "_times", 0 });
-        stopAttempts(job);
+        stopAttempts(now, job);
         return;
     }
     enqueue(now, job, step, index);
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -86,7 +86,7 @@
     dequeue(job);
     if (job.mayHaveRun) {
         answer(now, job, { JobOutcome::Kind::MayHaveRun, reason, 0 });
-        stopAttempts(job);
+        stopAttempts(now, job);
         return;
     }
     if (job.outstanding == 0) {
@@ -97,7 +97,7 @@
         return;
     job.refusing = true;
     job.refusalReason = reason;
-    stopAttempts(job);
+    stopAttempts(now, job);
 }
 
 void JobTable::answer(TimePoint now, Job& job, const JobOutcome& outcome)
@@ -135,7 +135,7 @@
     job.callers.clear();
 }
 
-void JobTable::stopAttempts(Job& job)
+void JobTable::stopAttempts(TimePoint now, Job& job)
 {
     for (size_t step = 0; step < job.steps.size(); ++step) {
         for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
@@ -143,17 +143,46 @@
             if (task.state != TaskState::Sent || task.stopping)
                 continue;
             task.stopping = true;
-            stopAttempt(job, step, index);
+            stopAttempt(now, job, step, index);
         }
     }
 }
 
-void JobTable::stopAttempt(const Job& job, size_t step, size_t index)
+void JobTable::stopAttempt(TimePoint now, const Job& job, size_t step, size_t index)
 {
     const Task& task = job.steps[step].tasks[index];
-    const StepTask name { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
-    m_unconfirmedStops[task.agent].insert({ name, task.attempt });
-    outbox(task.agent);
+    const AgentId agent = task.agent;
+    const Attempt attempt { { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) }, task.attempt };
+    if (withdrawUnsentStart(now, agent, attempt))
+        return;
+    m_unconfirmedStops[agent].insert(attempt);
+    outbox(agent);
+}
+
+// A task that was placed since the last flush has its start in the outbox. Sent together, start and stop would depend on the
+// order in which the agent applies them; removed, the start is known not to have been carried out.
+bool JobTable::withdrawUnsentStart(TimePoint now, const AgentId& agent, const Attempt& attempt)
+{
+    const auto box = m_outbox.find(agent);
+    if (box == m_outbox.end())
+        return false;
+    auto& starts = *box->second.mutable_starts();
+    const auto start = std::find_if(starts.begin(), starts.end(), [&](const wire::StartTask& it) {
+        return wire::toStepTask(it.key()) == attempt.task && it.key().attempt() == attempt.number;
+    });
+    if (start == starts.end())
+        return false;
+    if (AgentView* view = m_offers.find(agent))
+        OfferTable::onWithdrawn(*view, wire::toResources(start->need()), start->grant() != 0);
+    if (start->grant() != 0)
+        box->second.add_declined_grants(start->grant());
+    starts.erase(start);
+    wire::AttemptReport report;
+    *report.mutable_key() = wire::toWire(attempt.task, attempt.number);
+    report.set_state(wire::ATTEMPT_NOT_STARTED);
+    report.set_reason("withdrawn");
+    applyReport(now, agent, report);
+    return true;
 }
 
 bool JobTable::cancel(TimePoint now, const std::string& id)
@@ -162,7 +191,7 @@
     if (it == m_jobs.end() || it->second.answered)
         return false;
     answer(now, it->second, { JobOutcome::Kind::Abandoned, "cancelled", 0 });
-    stopAttempts(it->second);
+    stopAttempts(now, it->second);
     return true;
 }
 
@@ -179,7 +208,7 @@
         respond({ JobOutcome::Kind::Abandoned, "caller_gone", 0 });
         if (job.callers.empty()) {
             answer(now, job, { JobOutcome::Kind::Abandoned, "caller_gone", 0 });
-            stopAttempts(job);
+            stopAttempts(now, job);
         }
         return;
     }
@@ -202,9 +231,11 @@
             continue;
         const bool stopping = m_drainUntil && now >= *m_drainUntil;
         if (now >= job.deadline || stopping) {
-            dequeue(job);
-            job.mayHaveRun = job.mayHaveRun || job.outstanding > 0;
-            endUnfinished(now, job, stopping ? "stopping" : "deadline");
+            const std::string reason = stopping ? "stopping" : "deadline";
+            endUnfinished(now, job, reason);
+            // The caller waits no longer, although the agents have not reported whether their starts were carried out.
+            job.mayHaveRun = job.mayHaveRun || !job.answered;
+            endUnfinished(now, job, reason);
         } else if (!job.mayHaveRun && job.outstanding == 0 && now - job.received > m_admission.maxWait(job.request)) {
             // With a start outstanding, waits for the agent's report, which says whether the task has run.
             endUnfinished(now, job, "waited_too_long");
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -189,8 +189,9 @@
     void endUnfinished(TimePoint now, Job&, const std::string& reason);
     void onStarted(TimePoint since, Job&, Task&);
     void answer(TimePoint now, Job&, const JobOutcome&);
-    void stopAttempts(Job&);
-    void stopAttempt(const Job&, size_t step, size_t index);
+    void stopAttempts(TimePoint now, Job&);
+    void stopAttempt(TimePoint now, const Job&, size_t step, size_t index);
+    bool withdrawUnsentStart(TimePoint now, const AgentId&, const Attempt&);
     void release(Task&);
     void confirmStop(const AgentId&, const wire::AttemptKey&);
     void addDueStops(TimePoint now);
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -367,6 +367,59 @@
     cr_assert_eq(entry.starts.size(), 2);
 }
 
+// At full load, capacity becomes free in the moment in which a job reaches its deadline: its waiting tasks are placed and given
+// up in one pass. Their starts must not leave this host, since agents used to carry them out after their stops.
+Test(JobTable, aStartThatIsGivenUpBeforeItIsSentNeverLeaves)
+{
+    Entry entry;
+    entry.offer(a1, 6000);
+    entry.submit("j", 2);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    for (int n = 0; n < 49; ++n) {
+        entry.advance(100);
+        entry.offer(a1, 0);
+    }
+    entry.now += ms(100);
+    entry.table.onAgent(entry.now, entry.message(a1, 64000));
+    entry.table.tick(entry.now);
+    entry.table.flush(entry.now);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::MayHaveRun);
+    cr_assert_eq(entry.starts.size(), 1);
+    cr_assert_eq(entry.stops.size(), 1);
+    cr_assert_eq(entry.stops[0].second.index(), entry.starts[0].second.key().index());
+    cr_assert_eq(entry.table.offers().agents().at(a1).free.coresMilli, 64000, "the capacity is free again");
+}
+
+// As above, for a job of which nothing has started: its only attempt is given back at its deadline, with a grant for another one.
+// It has not run, and its caller can be told so.
+Test(JobTable, aJobWhoseOnlyStartIsWithdrawnHasNotRun)
+{
+    Entry entry;
+    entry.offer(a1, 6000);
+    entry.submit("j", 1);
+    for (int n = 0; n < 49; ++n) {
+        entry.advance(100);
+        entry.offer(a1, 0);
+    }
+    cr_assert_not(entry.answered("j"), "its attempt is outstanding");
+    entry.now += ms(100);
+    auto it = entry.message(a1, 0);
+    it.add_grants()->set_id(11);
+    it.mutable_grants(0)->mutable_room()->set_cores_milli(6000);
+    it.mutable_grants(0)->mutable_room()->set_memory_mb(64);
+    *it.add_reports()->mutable_key() = entry.starts[0].second.key();
+    it.mutable_reports(0)->set_reason("no_room");
+    entry.table.onAgent(entry.now, it);
+    entry.table.tick(entry.now);
+    entry.table.flush(entry.now);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::NotRun);
+    cr_assert_eq(entry.starts.size(), 1);
+    cr_assert(entry.stops.empty());
+    cr_assert_eq(entry.declined.size(), 1, "its grant is given back");
+    entry.advance(20);
+    cr_assert_eq(entry.table.size(), 0);
+}
+
 // A refusal states that nothing has run, so with a start outstanding it waits for the agent's report.
 Test(JobTable, aRefusalWaitsUntilNothingCanHaveRun)
 {
--- a/fescuegw/direct/OfferTable.cpp
+++ b/fescuegw/direct/OfferTable.cpp
@@ -50,6 +50,18 @@
     view.free -= need;
 }
 
+void OfferTable::onWithdrawn(AgentView& view, const Resources& need, bool granted)
+{
+    if (granted)
+        return;
+    const std::pair<uint64_t, Resources> start { view.lastSequence + 1, need };
+    const auto it = std::find(view.unacknowledgedStarts.rbegin(), view.unacknowledgedStarts.rend(), start);
+    if (it == view.unacknowledgedStarts.rend())
+        return;
+    view.unacknowledgedStarts.erase(std::next(it).base());
+    view.free += need;
+}
+
 std::vector<UsableAgent> OfferTable::usable(TimePoint now, const std::string& service) const
 {
     std::vector<UsableAgent> list;
--- a/fescuegw/direct/OfferTable.h
+++ b/fescuegw/direct/OfferTable.h
@@ -61,6 +61,9 @@
     // capacity.
     static void onSent(AgentView&, const Resources& need, bool granted);
 
+    // Reverts `onSent` for a start that was removed from the next message to the agent.
+    static void onWithdrawn(AgentView&, const Resources& need, bool granted);
+
     // Returns the agents of `service` that accept tasks and whose last offer is recent.
     std::vector<UsableAgent> usable(TimePoint now, const std::string& service) const;
     bool isUsable(TimePoint now, const AgentView& view) const
