A stop without effect ends the renewal of leases

Cause: there is one lease for all runs of an upstream. Holds and starts renewed it also for runs whose stop had had no effect, and for those of entries whose own lease was over, so nothing bounded them. Copies of stop orders delayed the stops of other runs. Change: no lease is renewed while a run is listed that should have ended (stopGrace, 500 ms; none for runs of entries without a lease and for runs that the agent does not know). One stop for a run is in flight at a time, before starts, and repeated at once if unanswered.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -96,6 +96,8 @@
     upstreamHooks.onStart = [this](TimePoint now, uint64_t serial, const StartAnswer& answer) {
         m_table.onStartReply(now, serial, answer.verdict, answer.clockMs);
     };
+    upstreamHooks.onStop
+        = [this](TimePoint now, const StopOrder& order, bool answered) { m_table.onStopReply(now, order, answered); };
     upstreamHooks.onHold = [this](TimePoint now, TimePoint sent, const HoldAnswer& answer) {
         if (answer.listing)
             m_table.onListing(now, sent, *answer.listing);
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -79,7 +79,7 @@
     }
     m_bornMs = bornMs;
     m_acknowledged = 0;
-    m_orphanedRuns = 0;
+    m_orphans.clear();
     m_departed = false;
     m_lastListingAt = std::nullopt;
     m_clock.reset();
@@ -170,7 +170,7 @@
         if (run.entry != entry || run.task != task || run.request.key().attempt() != key.attempt())
             continue;
         if (run.state != State::Stopping)
-            sendStop(now, run, "withdrawn");
+            beginStop(now, run, "withdrawn", m_options.stopGrace);
         return;
     }
     if (m_settled.contains({ entry, task, key.attempt() }))
@@ -222,13 +222,35 @@
     m_hooks.start(serial, StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence });
 }
 
-void RunTable::sendStop(TimePoint now, Run& run, const std::string& reason)
+void RunTable::beginStop(TimePoint now, Run& run, const std::string& reason, Duration grace)
 {
     run.state = State::Stopping;
-    run.stopSentAt = now;
-    if (run.stopReason.empty())
-        run.stopReason = reason;
-    m_hooks.stop(StopOrder { run.task, run.run, m_fence });
+    run.stopReason = reason;
+    run.notRenewedFrom = now + grace;
+    sendDueStop(now, { run.task, run.run }, run.stop);
+}
+
+// An order that waits for its turn at the upstream, or for its answer, is not sent a second time: the copies would delay the
+// stops of other runs.
+void RunTable::sendDueStop(TimePoint now, const RunId& run, Stop& stop)
+{
+    if (stop.inFlight || now < stop.due)
+        return;
+    stop.inFlight = true;
+    m_hooks.stop(StopOrder { run.first, run.second, m_fence });
+}
+
+void RunTable::onStopReply(TimePoint now, const StopOrder& order, bool answered)
+{
+    Stop* stop = nullptr;
+    if (const auto run = find(order.task, order.run); run != m_runs.end())
+        stop = &run->second.stop;
+    else if (const auto orphan = m_orphans.find({ order.task, order.run }); orphan != m_orphans.end())
+        stop = &orphan->second;
+    if (stop == nullptr)
+        return;
+    stop->inFlight = false;
+    stop->due = answered ? now + m_options.stopRetryInterval : now;
 }
 
 void RunTable::confirm(TimePoint now, Run& run)
@@ -372,12 +394,12 @@
 void RunTable::applyRunning(TimePoint now, TimePoint sent, const Listing& listing)
 {
     std::set<uint64_t> listed;
-    std::vector<const RunningRow*> orphaned;
+    std::vector<RunId> orphaned;
     m_slowness.beginProgressRound();
     for (const auto& row : listing.running) {
         const auto it = find(row.task, row.run);
         if (it == m_runs.end()) {
-            orphaned.push_back(&row);
+            orphaned.emplace_back(row.task, row.run);
             continue;
         }
         listed.insert(it->first);
@@ -386,7 +408,7 @@
         if (it->second.state == State::Running)
             m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
     }
-    stopOrphanedRuns(now, orphaned);
+    applyOrphans(orphaned);
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         const Run& run = it->second;
@@ -404,17 +426,16 @@
     }
 }
 
-// Orphaned runs were started by an earlier process of this agent: no entry waits for them, and their resource needs are unknown.
-void RunTable::stopOrphanedRuns(TimePoint now, const std::vector<const RunningRow*>& rows)
+void RunTable::applyOrphans(const std::vector<RunId>& listed)
 {
-    if (rows.size() != m_orphanedRuns)
-        Event(Level::Info, "foreign_runs").with("count", rows.size()).with("before", m_orphanedRuns);
-    m_orphanedRuns = rows.size();
-    if (rows.empty() || now - m_orphansStoppedAt < m_options.stopRetryInterval)
-        return;
-    m_orphansStoppedAt = now;
-    for (const auto* it : rows)
-        m_hooks.stop(StopOrder { it->task, it->run, m_fence });
+    if (listed.size() != m_orphans.size())
+        Event(Level::Info, "foreign_runs").with("count", listed.size()).with("before", m_orphans.size());
+    std::map<RunId, Stop> orphans;
+    for (const auto& it : listed) {
+        const auto known = m_orphans.find(it);
+        orphans.emplace(it, known == m_orphans.end() ? Stop() : known->second);
+    }
+    m_orphans = std::move(orphans);
 }
 
 void RunTable::onHoldFailure(TimePoint now, bool fenced)
@@ -438,7 +459,7 @@
     if (!m_lastListingAt)
         hold.wait = Duration();
     // The lease is not renewed without own runs, so that orphaned runs expire.
-    if (m_clock.known() && busy) {
+    if (m_clock.known() && busy && !m_renewalWithheld) {
         hold.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
         m_leasesExpireAt = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease));
     }
@@ -486,16 +507,42 @@
 {
     for (auto& it : m_runs) {
         Run& run = it.second;
-        const bool leased = m_entryLeases[run.entry] > now;
-        if (run.state == State::Stopping && now - run.stopSentAt >= m_options.stopRetryInterval)
-            sendStop(now, run, run.stopReason);
-        else if (run.state != State::Stopping && !leased)
-            sendStop(now, run, "entry_lease_over");
+        if (m_entryLeases[run.entry] > now)
+            continue;
+        if (run.state != State::Stopping)
+            beginStop(now, run, "entry_lease_over", Duration());
+        run.notRenewedFrom = std::min(run.notRenewedFrom, now);
     }
     std::erase_if(m_entryLeases, [&](const auto& it) { return it.second + runNumberRetention < now; });
     m_grants.expire(now);
 }
 
+void RunTable::sendDueStops(TimePoint now)
+{
+    for (auto& it : m_runs)
+        if (it.second.state == State::Stopping)
+            sendDueStop(now, { it.second.task, it.second.run }, it.second.stop);
+    for (auto& it : m_orphans)
+        sendDueStop(now, it.first, it.second);
+}
+
+// A stop may fail for as long as the upstream leaves requests undone. The lease then bounds the run, but there is one lease for
+// all runs of the upstream, and any start renews it too. So neither holds nor starts are sent with a new lease until the run has
+// ended; its caller may submit the job again by then.
+void RunTable::updateRenewal(TimePoint now)
+{
+    const auto overdue = std::find_if(m_runs.begin(), m_runs.end(),
+        [&](const auto& it) { return it.second.state == State::Stopping && now >= it.second.notRenewedFrom; });
+    const bool withheld = overdue != m_runs.end() || !m_orphans.empty();
+    if (withheld == m_renewalWithheld)
+        return;
+    m_renewalWithheld = withheld;
+    Event event(withheld ? Level::Warn : Level::Info, withheld ? "lease_withheld" : "lease_renewed");
+    event.with("runs", running()).with("foreign", m_orphans.size());
+    if (overdue != m_runs.end())
+        event.with("request", overdue->second.task.job).with("reason", overdue->second.stopReason);
+}
+
 void RunTable::tick(TimePoint now)
 {
     if (m_lastListingAt && now - *m_lastListingAt > m_options.listingTimeout) {
@@ -505,6 +552,8 @@
     forgetSettled(now);
     expireUpstreamLeases(now);
     enforceEntryLeases(now);
+    sendDueStops(now);
+    updateRenewal(now);
     issueGrants(now);
 }
 
@@ -517,7 +566,7 @@
 bool RunTable::accepting(TimePoint now) const
 {
     return m_announcement && !m_announcement->leaving && m_announcement->bornMs == m_bornMs && !m_departed && !m_draining
-        && m_orphanedRuns == 0 && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
+        && m_orphans.empty() && !m_renewalWithheld && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
 }
 
 Resources RunTable::free() const
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -30,6 +30,9 @@
     Duration listingTimeout { std::chrono::milliseconds(400) };
     // Interval after which a stop order without effect is sent again.
     Duration stopRetryInterval { std::chrono::milliseconds(150) };
+    // Time that a stop may take before leases are no longer renewed, so that the run ends with its lease. Those of an entry whose
+    // own lease is over have none.
+    Duration stopGrace { std::chrono::milliseconds(500) };
     // Time for which a hold (long poll) waits for a run to end, with and without runs in progress.
     Duration holdWait { std::chrono::milliseconds(100) };
     Duration idleHoldWait { std::chrono::milliseconds(200) };
@@ -66,6 +69,8 @@
     void onEntry(TimePoint now, const wire::EntryToUpstream&);
 
     void onStartReply(TimePoint now, uint64_t serial, StartVerdict, std::optional<uint64_t> clockMs);
+    // A stop order is complete. Without an answer it is sent again.
+    void onStopReply(TimePoint now, const StopOrder&, bool answered);
     // `sent` is when the hold that returned the listing was sent.
     void onListing(TimePoint now, TimePoint sent, const Listing&);
     // A hold failed, or was refused because its fencing token was too low (`fenced`).
@@ -94,6 +99,13 @@
         Stopping,
     };
 
+    // Stop orders for one run, of which one at a time is on its way.
+    struct Stop {
+        bool inFlight = false;
+        // The next order is due then, unless the run has ended.
+        TimePoint due;
+    };
+
     struct Run {
         std::string entry;
         wire::StartTask request;
@@ -111,8 +123,10 @@
         bool confirmed = false;
         TimePoint confirmedAt;
         uint32_t percent = 0;
-        TimePoint stopSentAt;
+        Stop stop;
         std::string stopReason;
+        // With `Stopping`: the lease is not renewed from then on.
+        TimePoint notRenewedFrom;
     };
 
     // Identifies an attempt among those of all entries.
@@ -125,6 +139,7 @@
     };
 
     using Runs = std::map<uint64_t, Run>;
+    using RunId = std::pair<StepTask, uint64_t>;
 
     void onStart(TimePoint now, const std::string& entry, const wire::StartTask&);
     void onStop(TimePoint now, const std::string& entry, const wire::AttemptKey&);
@@ -136,10 +151,13 @@
     void confirm(TimePoint now, Run&);
     void applyEnd(TimePoint now, const EndedRow&);
     void applyRunning(TimePoint now, TimePoint sent, const Listing&);
-    void stopOrphanedRuns(TimePoint now, const std::vector<const RunningRow*>&);
+    void applyOrphans(const std::vector<RunId>&);
     void finish(TimePoint now, Runs::iterator, wire::AttemptState, const std::string& reason);
     void sendStart(TimePoint now, uint64_t serial, Run&);
-    void sendStop(TimePoint now, Run&, const std::string& reason);
+    void beginStop(TimePoint now, Run&, const std::string& reason, Duration grace);
+    void sendDueStop(TimePoint now, const RunId&, Stop&);
+    void sendDueStops(TimePoint now);
+    void updateRenewal(TimePoint now);
     void retryOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
     void giveUpStart(TimePoint now, Runs::iterator, const std::string& reason);
     void expireUpstreamLeases(TimePoint now);
@@ -168,8 +186,10 @@
     std::set<EntryAttempt> m_settled;
     std::deque<std::pair<TimePoint, EntryAttempt>> m_settledOrder;
     uint64_t m_acknowledged = 0;
-    size_t m_orphanedRuns = 0;
-    TimePoint m_orphansStoppedAt;
+    // Listed runs that this process did not start. No entry waits for them, and their resource needs are unknown.
+    std::map<RunId, Stop> m_orphans;
+    // Leases are not renewed, since a run that should have ended is still listed.
+    bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
     std::optional<TimePoint> m_holdFailedAt;
     TimePoint m_leasesExpireAt;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -40,7 +40,7 @@
     {
         table.onListing(now, now, Listing { incarnation, clock(), std::move(running), std::move(ended) });
         // The next hold renews the leases of current runs.
-        table.nextHold(now);
+        hold = table.nextHold(now);
     }
 
     uint64_t clock() const
@@ -96,6 +96,7 @@
     bool accepted = false;
     std::vector<std::pair<uint64_t, StartOrder>> starts;
     std::vector<StopOrder> stops;
+    HoldOrder hold;
     std::vector<std::pair<std::string, wire::AttemptReport>> reports;
     std::vector<std::pair<std::string, wire::Grant>> grants;
     RunTable table;
@@ -503,3 +504,115 @@
     agent.start("e2", "job");
     cr_assert_eq(agent.starts.size(), 1, "the same attempt number of another entry");
 }
+
+// An upstream leaves requests undone, so a stop has no effect. Its run must end within 1,300 ms, when the caller submits the job
+// again; the lease ends it unless it is renewed for the sake of the other runs.
+Test(RunTable, aStopWithoutEffectEndsTheRenewalOfLeases)
+{
+    Agent agent;
+    agent.start("e1", "stopped");
+    agent.confirm();
+    agent.start("e2", "other");
+    agent.confirm();
+    agent.stop("e1", "stopped");
+    const TimePoint stopped = agent.now;
+    uint64_t leaseUntilMs = 0;
+    for (int n = 0; n < 12; ++n) {
+        agent.advance(ms(100));
+        for (const char* it : { "e1", "e2" })
+            agent.table.onEntry(agent.now, agent.message(it));
+        agent.table.onStopReply(agent.now, agent.stops.back(), false);
+        agent.list({ row("stopped", 1), row("other", 1) }, {});
+        leaseUntilMs = std::max(leaseUntilMs, agent.hold.leaseUntilMs.value_or(0));
+        if (agent.table.running() == 0)
+            break;
+        const bool withheld = agent.now - stopped >= RunTableOptions().stopGrace;
+        cr_assert_eq(agent.hold.leaseUntilMs.has_value(), !withheld);
+        cr_assert_eq(agent.table.offer(agent.now).accepting(), !withheld, "a start would renew the lease");
+    }
+    cr_assert_lt(leaseUntilMs, static_cast<uint64_t>(toMs(stopped.time_since_epoch())) + 1100);
+    cr_assert_eq(agent.table.running(), 0, "the agent knows that the lease is over");
+    agent.list({}, { ended(1, "stopped", 1, RunEnd::Lapsed), ended(2, "other", 1, RunEnd::Lapsed) });
+    agent.start("e1", "next");
+    cr_assert_eq(agent.starts.size(), 3);
+    agent.confirm();
+    agent.list({ row("next", 1) }, {});
+    cr_assert(agent.hold.leaseUntilMs.has_value());
+}
+
+// The entry of a run is dead or cut off, and the stops of the agent have no effect.
+Test(RunTable, runsOfADeadEntryAreNotRenewed)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.start("e2", "other");
+    agent.confirm();
+    for (int n = 0; n < 10; ++n) {
+        agent.advance(ms(100));
+        agent.table.onEntry(agent.now, agent.message("e2"));
+        agent.list({ row("job", 1), row("other", 1) }, {});
+        const bool leased = ms(100) * (n + 1) < RunTableOptions().entryLease;
+        cr_assert_eq(agent.hold.leaseUntilMs.has_value(), leased);
+    }
+}
+
+// A run that the agent does not know is listed beside its own runs.
+Test(RunTable, orphanedRunsAreNotRenewed)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.list({ row("job", 1), row("unknown", 3) }, {});
+    cr_assert_not(agent.hold.leaseUntilMs.has_value());
+    agent.advance(ms(20));
+    agent.list({ row("job", 1) }, { ended(1, "unknown", 3, RunEnd::Stopped) });
+    cr_assert(agent.hold.leaseUntilMs.has_value());
+}
+
+// A stop that takes effect within its grace costs the other runs nothing.
+Test(RunTable, aStopInTimeDoesNotEndTheRenewalOfLeases)
+{
+    Agent agent;
+    agent.start("e1", "stopped");
+    agent.confirm();
+    agent.start("e1", "other");
+    agent.confirm();
+    agent.stop("e1", "stopped");
+    agent.advance(ms(60));
+    agent.list({ row("stopped", 1), row("other", 1) }, {});
+    cr_assert(agent.hold.leaseUntilMs.has_value());
+    agent.list({ row("other", 1) }, { ended(1, "stopped", 1, RunEnd::Stopped) });
+    for (int n = 0; n < 8; ++n) {
+        agent.advance(ms(100));
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        agent.list({ row("other", 1) }, {});
+        cr_assert(agent.hold.leaseUntilMs.has_value());
+    }
+}
+
+// Many runs are stopped at once on an upstream that leaves requests undone. Copies of orders that wait for their turn would delay
+// the other stops.
+Test(RunTable, aStopInFlightIsNotSentAgain)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.stop("e1", "job");
+    const auto later = [&](int64_t milliseconds) {
+        agent.advance(ms(milliseconds));
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        agent.list({ row("job", 1) }, {});
+    };
+    later(200);
+    later(200);
+    cr_assert_eq(agent.stops.size(), 1);
+    agent.table.onStopReply(agent.now, agent.stops.back(), false);
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.stops.size(), 2, "at once after a missing answer");
+    agent.table.onStopReply(agent.now, agent.stops.back(), true);
+    later(100);
+    cr_assert_eq(agent.stops.size(), 2, "an answered stop has some time to take effect");
+    later(100);
+    cr_assert_eq(agent.stops.size(), 3);
+}
--- a/fescuegw/arbiter/UpstreamLink.cpp
+++ b/fescuegw/arbiter/UpstreamLink.cpp
@@ -28,28 +28,29 @@
         Order order;
         {
             std::unique_lock<std::mutex> lock(m_mutex);
-            queue.condition.wait(lock, [&] { return m_stopping || !queue.orders.empty(); });
+            queue.condition.wait(lock, [&] { return m_stopping || !queue.urgent.empty() || !queue.orders.empty(); });
             if (m_stopping)
                 return;
-            order = std::move(queue.orders.front());
-            queue.orders.pop_front();
+            auto& orders = queue.urgent.empty() ? queue.orders : queue.urgent;
+            order = std::move(orders.front());
+            orders.pop_front();
         }
         order(calls);
     }
 }
 
-void UpstreamLink::enqueue(Queue& queue, Order order)
+void UpstreamLink::enqueue(Queue& queue, std::deque<Order>& orders, Order order)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        queue.orders.push_back(std::move(order));
+        orders.push_back(std::move(order));
     }
     queue.condition.notify_one();
 }
 
 void UpstreamLink::start(uint64_t serial, const StartOrder& order)
 {
-    enqueue(m_orders, [this, serial, order](const UpstreamCalls& calls) {
+    enqueue(m_orders, m_orders.orders, [this, serial, order](const UpstreamCalls& calls) {
         const StartAnswer answer = calls.start(order);
         m_hooks.post([this, serial, answer](TimePoint now) { m_hooks.onStart(now, serial, answer); });
     });
@@ -57,12 +58,15 @@
 
 void UpstreamLink::stop(const StopOrder& order)
 {
-    enqueue(m_orders, [order](const UpstreamCalls& calls) { calls.stop(order); });
+    enqueue(m_orders, m_orders.urgent, [this, order](const UpstreamCalls& calls) {
+        const bool answered = calls.stop(order);
+        m_hooks.post([this, order, answered](TimePoint now) { m_hooks.onStop(now, order, answered); });
+    });
 }
 
 void UpstreamLink::hold(TimePoint now, const HoldOrder& order)
 {
-    enqueue(m_holds, [this, now, order](const UpstreamCalls& calls) {
+    enqueue(m_holds, m_holds.orders, [this, now, order](const UpstreamCalls& calls) {
         const HoldAnswer answer = calls.hold(order);
         m_hooks.post([this, now, answer](TimePoint then) { m_hooks.onHold(then, now, answer); });
     });
--- a/fescuegw/arbiter/UpstreamLink.h
+++ b/fescuegw/arbiter/UpstreamLink.h
@@ -28,7 +28,8 @@
 // Blocking calls to one upstream. Each thread has its own set, with its own connections. Errors are returned in the answers.
 struct UpstreamCalls {
     std::function<StartAnswer(const StartOrder&)> start;
-    std::function<void(const StopOrder&)> stop;
+    // Returns whether there was an answer. Whether the stop took effect is seen in the listing only.
+    std::function<bool(const StopOrder&)> stop;
     std::function<HoldAnswer(const HoldOrder&)> hold;
 };
 
@@ -36,6 +37,7 @@
 struct UpstreamLinkHooks {
     std::function<void(std::function<void(TimePoint)>)> post;
     std::function<void(TimePoint, uint64_t serial, const StartAnswer&)> onStart;
+    std::function<void(TimePoint, const StopOrder&, bool answered)> onStop;
     std::function<void(TimePoint, TimePoint sent, const HoldAnswer&)> onHold;
 };
 
@@ -59,11 +61,13 @@
 
     struct Queue {
         std::condition_variable condition;
+        // Served before `orders`.
+        std::deque<Order> urgent;
         std::deque<Order> orders;
     };
 
     void processQueue(Queue&, const UpstreamCalls&);
-    void enqueue(Queue&, Order);
+    void enqueue(Queue&, std::deque<Order>&, Order);
 
     UpstreamLinkHooks m_hooks;
     std::mutex m_mutex;
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -346,7 +346,12 @@
     });
 }
 
-void LoadModel::stopRun(AgentHost& agent, const StopOrder& order) { endRun(agent, order.task, order.run, RunEnd::Stopped); }
+void LoadModel::stopRun(AgentHost& agent, const StopOrder& order)
+{
+    endRun(agent, order.task, order.run, RunEnd::Stopped);
+    const bool lost = uniform() < agent.replyLossRate;
+    schedule(lost ? replyTimeout : upstreamDelay, [this, &agent, order, lost] { agent.table->onStopReply(m_now, order, !lost); });
+}
 
 void LoadModel::endRun(AgentHost& agent, const StepTask& task, uint64_t run, RunEnd how)
 {
