One odd entry neither ends the processes that read it nor hides the others

What operators of similar systems saw: one odd entry in a list (nested deeply, a number too large, a port out of range) ended every machine that read it, again and again, or made it stop following the list. Cause here: JSON was parsed at any depth and memory, and unreadable rows were logged by a recursive function; addresses of entries and replicas went from the state group's lists to libzmq unchecked, which throws for some and connects elsewhere for others; a listing with an unreadable row counted as whole, so that its run was started again; one job id that is not UTF-8 made an agent drop a whole message.

--- a/fescuegw/agent/AgentServer.cpp
+++ b/fescuegw/agent/AgentServer.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "fescuegw/http/Json.h"
 #include "fescuegw/logging/Log.h"
 
 namespace fescuegw::agent {
@@ -41,7 +42,7 @@
         const auto invalid = [](const std::string& what) {
             return tl::unexpected(Error { Verdict::NotRun, statusBadRequest, what });
         };
-        const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json json = http::parseJson(body);
         if (!json.is_object())
             return invalid("allowed: a JSON object");
         try {
--- a/fescuegw/arbiter/EntrySubset.cpp
+++ b/fescuegw/arbiter/EntrySubset.cpp
@@ -3,8 +3,14 @@
 #include <algorithm>
 #include <map>
 
+#include "fescuegw/logging/Log.h"
+#include "fescuegw/settings/Settings.h"
+
 namespace fescuegw::arbiter {
 
+using logging::Event;
+using logging::Level;
+
 namespace {
 
     // Rendezvous hashing: the score of a pair depends on nothing else, so the choices of different agents are independent, and
@@ -53,14 +59,20 @@
 std::vector<wire::EntryInfo> selectEntries(const std::string& agent, const wire::View& view, const EntrySubsetOptions& options)
 {
     std::vector<wire::EntryInfo> chosen;
-    if (static_cast<size_t>(view.entries_size()) <= options.size) {
-        chosen.assign(view.entries().begin(), view.entries().end());
-        return chosen;
-    }
     std::vector<const wire::EntryInfo*> serving;
     std::vector<const wire::EntryInfo*> stopping;
-    for (const auto& it : view.entries())
-        (it.draining() ? stopping : serving).push_back(&it);
+    for (const auto& it : view.entries()) {
+        if (settings::parseAddress(it.address()))
+            (it.draining() ? stopping : serving).push_back(&it);
+        else
+            Event(Level::Warn, "entry_unusable").with("entry", it.entry()).with("address", it.address());
+    }
+    if (serving.size() + stopping.size() <= options.size) {
+        for (const auto* list : { &serving, &stopping })
+            for (const auto* it : *list)
+                chosen.push_back(*it);
+        return chosen;
+    }
     choose(rankByDomain(agent, serving), options.size, chosen);
     choose(rankByDomain(agent, stopping), options.size, chosen);
     return chosen;
--- a/fescuegw/arbiter/EntrySubsetTest.cpp
+++ b/fescuegw/arbiter/EntrySubsetTest.cpp
@@ -108,3 +108,17 @@
         for (const auto& it : subsetOf(n, view))
             cr_assert_not(stopping.contains(it));
 }
+
+// Another process left entries with unusable addresses in the list: they are passed over, and take no place of a usable one.
+Test(EntrySubset, entriesWithUnusableAddressesAreIgnored)
+{
+    wire::View view = fleet(3);
+    for (const char* it : { "10.1.0.1:77200", "10.1.0.1", "", "entry.example:7720", "10.1.0.1:0" })
+        view.add_entries()->set_address(it);
+    cr_assert_eq(selectEntries("agent", view, {}).size(), 3);
+    EntrySubsetOptions options;
+    options.size = 3;
+    cr_assert_eq(selectEntries("agent", view, options).size(), 3);
+    for (const auto& it : selectEntries("agent", view, options))
+        cr_assert(it.address().starts_with("10.1.0.") && it.address().ends_with(":7720"));
+}
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -409,6 +409,9 @@
             m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
     }
     applyOrphans(orphaned);
+    // A run that is not listed may be the one of a row that could not be read.
+    if (!listing.complete)
+        return;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         const Run& run = it->second;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -570,6 +570,23 @@
     cr_assert(agent.hold.leaseUntilMs.has_value());
 }
 
+// A row of a listing cannot be read. It may be the row of a run that is missing from the others, which must not be started
+// elsewhere for that reason.
+Test(RunTable, anIncompleteListingEndsNoRun)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.advance(ms(50));
+    const size_t before = agent.reports.size();
+    Listing listing { 1, agent.clock(), {}, {}, false };
+    agent.table.onListing(agent.now, agent.now, listing);
+    cr_assert_eq(agent.reports.size(), before);
+    listing.complete = true;
+    agent.table.onListing(agent.now, agent.now, listing);
+    cr_assert_eq(agent.lastReason(), "vanished");
+}
+
 // A stop that takes effect within its grace costs the other runs nothing.
 Test(RunTable, aStopInTimeDoesNotEndTheRenewalOfLeases)
 {
--- a/fescuegw/arbiter/Upstream.h
+++ b/fescuegw/arbiter/Upstream.h
@@ -65,6 +65,8 @@
     uint64_t clockMs = 0;
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
+    // Whether all rows could be read. If not, a run that is not listed may be there.
+    bool complete = true;
 
     friend bool operator==(const Listing&, const Listing&) = default;
 };
--- a/fescuegw/ctl/main.cpp
+++ b/fescuegw/ctl/main.cpp
@@ -11,6 +11,7 @@
 
 #include "fescuegw/daemon/Daemon.h"
 #include "fescuegw/http/Client.h"
+#include "fescuegw/http/Json.h"
 #include "fescuegw/net/Hub.h"
 #include "fescuegw/questionnaire/Questionnaire.h"
 #include "fescuegw/settings/Settings.h"
@@ -89,7 +90,7 @@
 {
     if (!response)
         return fail(response.error().detail + " (" + std::string(toString(response.error().verdict)) + ")");
-    const json body = json::parse(response->body, nullptr, false);
+    const json body = http::parseJson(response->body);
     if (context.asJson || body.is_discarded())
         std::cout << response->body << '\n';
     else if (response->status >= 400)
@@ -139,7 +140,7 @@
     const auto response = call(context, true, "GET", "/v1/teams/" + planned->team());
     if (!response)
         return fail(response.error().detail);
-    const json body = json::parse(response->body, nullptr, false);
+    const json body = http::parseJson(response->body);
     const std::string current = response->status == 200 ? body.value("settings", "") : "";
     std::istringstream lines(described);
     for (std::string line; std::getline(lines, line);)
@@ -216,7 +217,7 @@
     const auto response = call(context, true, "GET", "/v1/status");
     if (!response || response->status != 200 || context.asJson)
         return printResponse(context, response);
-    printStatus(json::parse(response->body));
+    printStatus(http::parseJson(response->body));
     return 0;
 }
 
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -214,7 +214,9 @@
     const auto found = match(submission.host, submission.path, answer);
     if (!found)
         return;
-    std::string fault = found->remainder.empty() ? "a job needs an id" : unsupported(submission.job);
+    // Agents read an entry's message whole or not at all, so one id that cannot be sent would hold up all jobs in the message.
+    std::string fault
+        = isValidName(found->remainder) ? unsupported(submission.job) : "a job needs an id of letters, digits and . _ -";
     if (found->route->advised())
         fault = "queues with an advisor are not served";
     if (!fault.empty()) {
--- a/fescuegw/entry/Call.cpp
+++ b/fescuegw/entry/Call.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "fescuegw/http/Json.h"
 #include "fescuegw/wire/Verdicts.h"
 
 namespace fescuegw::entry {
@@ -104,7 +105,7 @@
 
     Result<json> parseBody(const http::Request& request, const std::vector<std::string>& allowed)
     {
-        json body = json::parse(request.body, nullptr, false);
+        json body = http::parseJson(request.body);
         if (!body.is_object())
             return tl::unexpected(invalid("the body must be one whole JSON object"));
         for (const auto& it : body.items())
--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "fescuegw/settings/Settings.h"
+
 namespace fescuegw::group {
 
 StateClient::StateClient(StateClientOptions options, std::vector<std::string> replicas, StateClientHooks hooks)
@@ -73,6 +75,7 @@
 {
     std::vector<std::string> found(reply.member_addresses().begin(), reply.member_addresses().end());
     found.push_back(reply.leader_address());
+    std::erase_if(found, [](const std::string& it) { return !settings::parseAddress(it); });
     addReplicas(found);
 }
 
--- a/fescuegw/http/Client.cpp
+++ b/fescuegw/http/Client.cpp
@@ -12,10 +12,20 @@
     constexpr int statusBadGateway = 502;
     constexpr std::string_view digestHeader = "x-content-digest:";
 
+    struct ReceivedBody {
+        std::string& body;
+        size_t limit;
+    };
+
+    // libcurl ends the transfer when less than the whole of `data` is taken.
     size_t onBody(char* data, size_t size, size_t count, void* user)
     {
-        static_cast<ClientResponse*>(user)->body.append(data, size * count);
-        return size * count;
+        const auto* received = static_cast<ReceivedBody*>(user);
+        const size_t n = size * count;
+        if (received->body.size() + n > received->limit)
+            return 0;
+        received->body.append(data, n);
+        return n;
     }
 
     size_t onHeader(char* data, size_t size, size_t count, void* user)
@@ -97,7 +107,8 @@
     const auto timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout).count();
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeoutMs));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response);
+    ReceivedBody received { response.body, request.responseLimit };
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &received);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &response);
     UnsentBody unsent { request.body };
--- a/fescuegw/http/Client.h
+++ b/fescuegw/http/Client.h
@@ -17,6 +17,8 @@
     std::vector<std::string> headers;
     std::string body;
     Duration timeout { std::chrono::seconds(30) };
+    // Longer responses fail with MayHaveRun.
+    size_t responseLimit = 256U << 20U;
 };
 
 struct ClientResponse {
--- a/fescuegw/http/ClientTest.cpp
+++ b/fescuegw/http/ClientTest.cpp
@@ -103,6 +103,24 @@
     cr_assert(client.call(request).has_value(), "the next request uses a new connection");
 }
 
+// An upstream sends more than its listing can have; collecting it would use up the memory of the process.
+Test(Client, responsesAreLimited)
+{
+    initialiseClients();
+    BreakingServer server;
+    Client client;
+    ClientRequest request;
+    request.method = "POST";
+    request.url = server.url();
+    request.body = "{}";
+    request.responseLimit = 2;
+    cr_assert(client.call(request).has_value());
+    request.responseLimit = 1;
+    const auto response = client.call(request);
+    cr_assert_not(response.has_value());
+    cr_assert(response.error().verdict == Verdict::MayHaveRun);
+}
+
 // Bodies are sent whole, whatever their size.
 Test(Client, sendsLargeBodies)
 {
--- /dev/null
+++ b/fescuegw/http/Json.h
@@ -0,0 +1,17 @@
+// Parsing of JSON that another party wrote.
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace fescuegw::http {
+
+// Parses `text`. Returns a discarded value for text that is not JSON, has a number that no double holds, or is nested more than
+// `maxJsonDepth` levels deep. Each level of nesting costs some 70 bytes of memory for one byte of text, and a level of recursion
+// in functions that visit the whole value.
+nlohmann::json parseJson(const std::string& text);
+
+constexpr size_t maxJsonDepth = 32;
+
+} // namespace fescuegw::http
--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -13,6 +13,7 @@
 #include <zmq.hpp>
 
 #include "fescuegw/logging/Log.h"
+#include "fescuegw/settings/Settings.h"
 
 namespace fescuegw::net {
 
@@ -273,6 +274,12 @@
 
 void Hub::connect(const std::string& name, const std::string& address)
 {
+    // Addresses come from lists that other processes write. libzmq throws for some unusable ones, connects to another port for
+    // those out of range, and looks up names.
+    if (!settings::parseAddress(address)) {
+        logging::Event(logging::Level::Warn, "link_refused").with("peer", name).with("address", address);
+        return;
+    }
     auto dealer = std::make_unique<zmq::socket_t>(m_sockets->context, zmq::socket_type::dealer);
     setCommonOptions(*dealer);
     setSilenceLimit(*dealer, m_options.silenceLimit);
--- a/fescuegw/net/HubTest.cpp
+++ b/fescuegw/net/HubTest.cpp
@@ -152,4 +152,16 @@
     cr_assert_eq(server.m_emptyReceived + client.m_emptyReceived, 0, "probe delivered as a message");
 }
 
+// A list that another process wrote holds an address that cannot be connected to. The process goes on without that link.
+Test(hub, unusableAddressesAreRefused)
+{
+    HubOptions options;
+    options.identity = "client";
+    Node client(options);
+    for (const char* it : { "10.0.0.1:99999", "10.0.0.1", "", "a b:1", "10.0.0.1:-1" }) {
+        client.m_hub.connect("odd", it);
+        cr_assert_not(client.m_hub.isConnected("odd"), "%s", it);
+    }
+}
+
 } // namespace fescuegw::net
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fescuegw/settings/Settings.h"
+
 namespace fescuegw::state {
 
 namespace {
@@ -15,6 +17,8 @@
 
 } // namespace
 
+bool hasUsableAddress(const wire::Member& member) { return settings::parseAddress(member.address()).has_value(); }
+
 MembershipPolicy::MembershipPolicy(MembershipOptions options)
     : m_options(options)
 {
--- a/fescuegw/state/MembershipPolicy.h
+++ b/fescuegw/state/MembershipPolicy.h
@@ -36,6 +36,10 @@
     uint64_t replaces = 0;
 };
 
+// Returns whether `member` has an address that other replicas can connect to. The membership is part of the log, so a replica
+// would meet an unusable address again at every start.
+bool hasUsableAddress(const wire::Member& member);
+
 // Chooses one membership change at a time. Adds candidates; a candidate at the address of a member has lost that member's
 // disk and replaces it. Removes unresponsive non-voters, and unresponsive voters in excess of `minVoters`.
 // Holds only soft state of the leader. Not thread-safe.
--- a/fescuegw/state/OwnershipPolicy.cpp
+++ b/fescuegw/state/OwnershipPolicy.cpp
@@ -1,7 +1,13 @@
 #include "fescuegw/state/OwnershipPolicy.h"
 
+#include "fescuegw/logging/Log.h"
+#include "fescuegw/settings/Settings.h"
+
 namespace fescuegw::state {
 
+using logging::Event;
+using logging::Level;
+
 namespace {
 
     // The upper half of an entries revision is the term, so that revisions of different terms differ.
@@ -30,6 +36,11 @@
     // Agents send heartbeats without an entry identity, just to receive the view.
     if (entry.empty())
         return;
+    // Every agent and entry connects to the listed addresses.
+    if (!settings::parseAddress(heartbeat.entry().address())) {
+        Event(Level::Warn, "entry_refused").with("entry", entry).with("address", heartbeat.entry().address());
+        return;
+    }
     const std::string namePrefix = entry.substr(0, entry.find('/') + 1);
     // A restarted entry supersedes its earlier incarnation without waiting for the lease.
     std::erase_if(
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -463,14 +463,19 @@
             *answer.mutable_lookup()->mutable_claim() = *claim;
     } else if (request.has_membership()) {
         const wire::MembershipRequest& change = request.membership();
-        const std::string refusal = m_replica->changeMembership(now, change.add(), change.remove_id());
+        const std::string refusal = change.has_add() && !hasUsableAddress(change.add())
+            ? "address: an IP number and a port"
+            : m_replica->changeMembership(now, change.add(), change.remove_id());
         answer.mutable_membership()->set_accepted(refusal.empty());
         answer.mutable_membership()->set_reason(refusal);
     } else if (request.has_group_status()) {
         *answer.mutable_group_status() = groupStatus(now);
     } else if (request.has_join()) {
-        if (m_membershipPolicy)
-            m_membershipPolicy->onCandidate(now, request.join().candidate());
+        const wire::Member& candidate = request.join().candidate();
+        if (!hasUsableAddress(candidate))
+            Event(Level::Warn, "candidate_refused").with("id", candidate.id()).with("address", candidate.address());
+        else if (m_membershipPolicy)
+            m_membershipPolicy->onCandidate(now, candidate);
     } else if (request.has_routing()) {
         *answer.mutable_routing()->mutable_routing() = m_registry.routing();
     }
