HTTP client: lint

Cause: clang-tidy takes a memcpy from a string for a lost terminator, and asks for the results of socket calls in the test. Change: std::string::copy, and results dropped on purpose. http_test 6 of 6.

--- a/fescuegw/http/Client.cpp
+++ b/fescuegw/http/Client.cpp
@@ -1,7 +1,6 @@
 #include "fescuegw/http/Client.h"
 
 #include <algorithm>
-#include <cstring>
 
 #include <curl/curl.h>
 
@@ -51,7 +50,7 @@
     {
         auto* unsent = static_cast<UnsentBody*>(user);
         const size_t n = std::min(size * count, unsent->body.size() - unsent->sent);
-        std::memcpy(buf, unsent->body.data() + unsent->sent, n);
+        unsent->body.copy(buf, n, unsent->sent);
         unsent->sent += n;
         return n;
     }
--- a/fescuegw/http/ClientTest.cpp
+++ b/fescuegw/http/ClientTest.cpp
@@ -25,16 +25,16 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
-        getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+        (void)bind(m_listener, reinterpret_cast<sockaddr*>(&address), length);
+        (void)getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
         m_port = ntohs(address.sin_port);
-        listen(m_listener, 1);
+        (void)listen(m_listener, 1);
         m_thread = std::thread([this] { run(); });
     }
 
     ~BreakingServer()
     {
-        shutdown(m_listener, SHUT_RDWR);
+        (void)shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         close(m_listener);
     }
