--- /dev/null
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -0,0 +1,615 @@
+// Who knows that a start or a stop took effect, and what bounds a run when that isn't known (docs/DESIGN.md). The production
+// classes of entries and agents run in virtual time against upstreams that lose answers, refuse repeats, leave orders undone or
+// carry them out late, over links that are reset, and with entries that are killed. Callers submit a job again 1,300 ms after an
+// unclear end.
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include <criterion/criterion.h>
+
+#include "fescuegw/arbiter/EntryLinks.h"
+#include "fescuegw/arbiter/RunTable.h"
+#include "fescuegw/direct/JobTable.h"
+#include "fescuegw/logging/Log.h"
+
+namespace {
+
+using namespace fescuegw;
+using namespace fescuegw::arbiter;
+using namespace fescuegw::direct;
+
+constexpr size_t entryCount = 3;
+constexpr size_t agentCount = 4;
+constexpr size_t orderThreads = 3;
+constexpr int64_t coresMilli = 64000;
+constexpr uint64_t maxLeaseMs = 1000;
+
+Duration ms(int64_t n) { return std::chrono::milliseconds(n); }
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10);
+constexpr Duration linkDelay = std::chrono::microseconds(1400);
+constexpr Duration upstreamDelay = std::chrono::microseconds(300);
+constexpr Duration orderTimeout = std::chrono::milliseconds(80);
+constexpr Duration holdMargin = std::chrono::milliseconds(60);
+constexpr Duration resubmitDelay = std::chrono::milliseconds(1300);
+// An entry notices within this time that a caller has gone.
+constexpr Duration maxAbandonDelay = std::chrono::milliseconds(100);
+
+// Shares of the requests of an upstream that meet a fault, in percent.
+struct Trouble {
+    uint64_t lostAnswers = 0;
+    uint64_t refusals = 0;
+    uint64_t undone = 0;
+    uint64_t late = 0;
+    // Stops that are left undone beside them.
+    uint64_t undoneStops = 0;
+};
+
+struct Findings {
+    uint64_t starts = 0;
+    uint64_t resubmitted = 0;
+    uint64_t lapsed = 0;
+    uint64_t overlaps = 0;
+    uint64_t overCapacity = 0;
+    uint64_t falseNotRun = 0;
+};
+
+class FaultModel {
+public:
+    explicit FaultModel(uint64_t seed)
+        : m_random(seed)
+    {
+        for (size_t n = 0; n < entryCount; ++n) {
+            m_entries.push_back(std::make_unique<Entry>());
+            m_entries[n]->address = "10.0.0." + std::to_string(n + 1) + ":1";
+            startEntry(n);
+        }
+        for (size_t n = 0; n < agentCount; ++n)
+            addAgent(n);
+    }
+
+    Findings run(Duration duration)
+    {
+        const TimePoint end = m_now + duration;
+        after(ms(500), [this] { submitNext(); });
+        after(ms(700), [this] { disturb(); });
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.action();
+        }
+        return m_findings;
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        uint64_t number = 0;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : number > other.number; }
+    };
+
+    struct Entry {
+        std::string address;
+        std::string identity;
+        std::unique_ptr<JobTable> table;
+        // A busy entry handles its messages in batches, one for each tick.
+        TimePoint busyUntil;
+        std::vector<wire::UpstreamToEntry> unread;
+    };
+
+    struct Run {
+        StepTask task;
+        uint64_t number = 0;
+        int64_t need = 0;
+    };
+
+    struct Agent {
+        AgentId id;
+        std::unique_ptr<EntryLinks> links;
+        std::unique_ptr<RunTable> table;
+        std::deque<std::function<void()>> stops;
+        std::deque<std::function<void()>> starts;
+        size_t busyThreads = 0;
+        // The upstream.
+        double clockRate = 1;
+        uint64_t leaseUntilMs = 0;
+        std::vector<Run> runs;
+        std::vector<EndedRow> ended;
+        std::map<StepTask, uint64_t> closed;
+        std::map<StepTask, int64_t> needs;
+        uint64_t lastEnd = 0;
+        Trouble trouble;
+        // The hold that waits, or 0, and the last one.
+        uint64_t hold = 0;
+        uint64_t lastHold = 0;
+        TimePoint holdSent;
+        bool holdUnanswered = false;
+    };
+
+    struct Job {
+        JobRequest request;
+        Duration work {};
+        size_t tries = 0;
+        uint64_t exchange = 0;
+        size_t starts = 0;
+        bool mayHaveRun = false;
+        bool refused = false;
+    };
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.push({ m_now + delay, ++m_lastEvent, std::move(action) });
+    }
+    uint64_t below(uint64_t n) { return m_random() % n; }
+    bool chance(uint64_t percent) { return below(100) < percent; }
+
+    void startEntry(size_t n)
+    {
+        Entry& entry = *m_entries[n];
+        entry.identity = "entry" + std::to_string(n) + "/" + std::to_string(++m_lastIncarnation);
+        JobTableHooks hooks;
+        hooks.send = [this, n](const AgentId& agent, const wire::EntryToUpstream& it) { sendToAgent(n, agent, it); };
+        hooks.random = [this](uint64_t bound) { return m_random() % bound; };
+        entry.table = std::make_unique<JobTable>(JobTableOptions(), hooks);
+        entry.unread.clear();
+        after(Duration(), [this, n, id = entry.identity] { tickEntry(n, id); });
+        for (const auto& it : m_agents)
+            introduce(*it, entry);
+    }
+
+    static void introduce(TimePoint now, Agent& agent, const Entry& entry)
+    {
+        wire::EntryToUpstream hello;
+        hello.set_entry(entry.identity);
+        (void)agent.links->onMessage(now, entry.address, hello);
+    }
+    void introduce(Agent& agent, const Entry& entry) const { introduce(m_now, agent, entry); }
+
+    void tickEntry(size_t n, const std::string& identity)
+    {
+        Entry& entry = *m_entries[n];
+        if (entry.identity != identity)
+            return;
+        processEntry(entry);
+        after(tickInterval, [this, n, identity] { tickEntry(n, identity); });
+    }
+
+    // What an entry does after each batch of messages.
+    void processEntry(Entry& entry)
+    {
+        for (const auto& it : entry.unread)
+            entry.table->onAgent(m_now, it);
+        entry.unread.clear();
+        entry.table->tick(m_now);
+        entry.table->flush(m_now);
+    }
+
+    void addAgent(size_t n)
+    {
+        m_agents.push_back(std::make_unique<Agent>());
+        Agent& agent = *m_agents.back();
+        agent.id = { "agent" + std::to_string(n), 1 };
+        agent.clockRate = n % 2 == 0 ? 1 : 0.98;
+        agent.links = std::make_unique<EntryLinks>(agent.id.name);
+        wire::View view;
+        for (const auto& it : m_entries)
+            view.add_entries()->set_address(it->address);
+        agent.links->onView(m_now, view);
+        for (const auto& it : m_entries)
+            introduce(agent, *it);
+        RunTableHooks hooks;
+        hooks.start = [this, &agent](uint64_t serial, const StartOrder& it) {
+            agent.starts.push_back([this, &agent, serial, it] { sendStart(agent, serial, it); });
+            serveOrders(agent);
+        };
+        hooks.stop = [this, &agent](const StopOrder& it) {
+            agent.stops.push_back([this, &agent, it] { sendStop(agent, it); });
+            serveOrders(agent);
+        };
+        hooks.report = [&agent](const std::string& entry, const wire::AttemptReport& it) { agent.links->report(entry, it); };
+        hooks.grant = [&agent](const std::string& entry, const wire::Grant& it) { agent.links->grant(entry, it); };
+        agent.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
+        Announcement it;
+        it.instance = agent.id.name;
+        it.bornMs = 1;
+        it.sequence = 1;
+        it.service = "s";
+        it.capacity = { coresMilli, 262144, 0 };
+        agent.table->onAnnouncement(m_now, it);
+        startHold(agent);
+        tickAgent(agent);
+    }
+
+    void tickAgent(Agent& agent)
+    {
+        processAgent(agent);
+        after(tickInterval, [this, &agent] { tickAgent(agent); });
+    }
+
+    void processAgent(Agent& agent)
+    {
+        agent.table->tick(m_now);
+        agent.links->send(
+            m_now, agent.id, [&] { return agent.table->offer(m_now); },
+            [this, &agent](const std::string& address, const wire::UpstreamToEntry& it) { sendToEntry(agent, address, it); });
+    }
+
+    struct Link {
+        TimePoint downUntil;
+        uint64_t generation = 0;
+    };
+    Link& link(size_t entry, const AgentId& agent) { return m_links[{ entry, agent }]; }
+
+    void sendToEntry(Agent& agent, const std::string& address, const wire::UpstreamToEntry& message)
+    {
+        const size_t n = static_cast<size_t>(address[7] - '1');
+        const Link& state = link(n, agent.id);
+        if (state.downUntil > m_now)
+            return;
+        after(linkDelay, [this, n, id = agent.id, message, generation = state.generation, to = m_entries[n]->identity] {
+            if (link(n, id).generation != generation || m_entries[n]->identity != to)
+                return;
+            m_entries[n]->unread.push_back(message);
+            if (m_entries[n]->busyUntil <= m_now)
+                processEntry(*m_entries[n]);
+        });
+    }
+
+    void sendToAgent(size_t n, const AgentId& id, const wire::EntryToUpstream& message)
+    {
+        const Link& state = link(n, id);
+        const std::string identity = m_entries[n]->identity;
+        if (state.downUntil > m_now) {
+            // Half of the lost messages are reported.
+            if (chance(50))
+                after(Duration(), [this, n, id, message, identity] {
+                    if (m_entries[n]->identity == identity)
+                        m_entries[n]->table->onUndeliverable(m_now, id, message);
+                });
+            return;
+        }
+        wire::EntryToUpstream sent = message;
+        sent.set_entry(identity);
+        after(linkDelay, [this, n, id, sent, generation = state.generation] {
+            if (link(n, id).generation != generation)
+                return;
+            Agent& agent = **std::find_if(m_agents.begin(), m_agents.end(), [&](const auto& it) { return it->id == id; });
+            agent.links->onMessage(m_now, m_entries[n]->address, sent);
+            for (const auto& it : sent.starts())
+                agent.needs[{ it.key().job(), it.key().step(), it.key().index() }] = it.need().cores_milli();
+            agent.table->onEntry(m_now, sent);
+            processAgent(agent);
+        });
+    }
+
+    void serveOrders(Agent& agent)
+    {
+        while (agent.busyThreads < orderThreads && (!agent.stops.empty() || !agent.starts.empty())) {
+            auto& queue = agent.stops.empty() ? agent.starts : agent.stops;
+            const auto order = queue.front();
+            queue.pop_front();
+            ++agent.busyThreads;
+            order();
+        }
+    }
+
+    // Lets an upstream carry out one order, at most once. `answer` is called with whether there was an answer.
+    void callUpstream(
+        Agent& agent, uint64_t undonePercent, const std::function<void()>& execute, const std::function<void(bool)>& answer)
+    {
+        const Trouble& trouble = agent.trouble;
+        const bool undone = chance(undonePercent);
+        const bool late = !undone && chance(trouble.late);
+        const bool lost = undone || late || chance(trouble.lostAnswers);
+        if (late)
+            after(ms(static_cast<int64_t>(below(3000))), execute);
+        else if (!undone)
+            after(upstreamDelay, execute);
+        after(lost ? orderTimeout : 2 * upstreamDelay, [this, &agent, lost, answer] {
+            --agent.busyThreads;
+            answer(!lost);
+            processAgent(agent);
+            serveOrders(agent);
+        });
+    }
+
+    void sendStart(Agent& agent, uint64_t serial, const StartOrder& order)
+    {
+        const auto verdict = std::make_shared<StartVerdict>(StartVerdict::Unanswered);
+        const bool refused = chance(agent.trouble.refusals);
+        callUpstream(
+            agent, agent.trouble.undone,
+            [this, &agent, order, verdict, refused] {
+                *verdict = refused ? (chance(50) ? StartVerdict::Unhealthy : StartVerdict::NoRoom) : startRun(agent, order);
+            },
+            [this, &agent, serial, verdict](bool answered) {
+                const auto clock = answered ? std::optional<uint64_t>(clockMs(agent)) : std::nullopt;
+                agent.table->onStartReply(m_now, serial, answered ? *verdict : StartVerdict::Unanswered, clock);
+            });
+    }
+
+    void sendStop(Agent& agent, const StopOrder& order)
+    {
+        callUpstream(
+            agent, std::max(agent.trouble.undone, agent.trouble.undoneStops),
+            [this, &agent, order] {
+                uint64_t& closed = agent.closed[order.task];
+                closed = std::max(closed, order.run);
+                endRun(agent, order.task, order.run, RunEnd::Stopped);
+            },
+            [this, &agent, order](bool answered) { agent.table->onStopReply(m_now, order, answered); });
+    }
+
+    uint64_t clockMs(const Agent& agent) const
+    {
+        return static_cast<uint64_t>(static_cast<double>((m_now - m_begin) / std::chrono::milliseconds(1)) * agent.clockRate)
+            + 1000;
+    }
+
+    void renewLease(Agent& agent, uint64_t untilMs)
+    {
+        agent.leaseUntilMs = std::max(agent.leaseUntilMs, std::min(untilMs, clockMs(agent) + maxLeaseMs));
+        after(ms(static_cast<int64_t>(
+                     static_cast<double>(agent.leaseUntilMs - std::min(agent.leaseUntilMs, clockMs(agent))) / agent.clockRate)
+                  + 2),
+            [this, &agent] { expireLease(agent); });
+    }
+
+    void expireLease(Agent& agent)
+    {
+        while (clockMs(agent) > agent.leaseUntilMs && !agent.runs.empty()) {
+            ++m_findings.lapsed;
+            endRun(agent, agent.runs.front().task, agent.runs.front().number, RunEnd::Lapsed);
+        }
+    }
+
+    StartVerdict startRun(Agent& agent, const StartOrder& order)
+    {
+        if (order.leaseUntilMs <= clockMs(agent))
+            return StartVerdict::Late;
+        const auto same = [&](const Run& it) { return it.task == order.task && it.number == order.run; };
+        renewLease(agent, order.leaseUntilMs);
+        if (std::any_of(agent.runs.begin(), agent.runs.end(), same))
+            return StartVerdict::Accepted;
+        if (const auto closed = agent.closed.find(order.task); closed != agent.closed.end() && order.run <= closed->second)
+            return StartVerdict::Superseded;
+        Job& job = m_jobs.at(order.task.job);
+        ++job.starts;
+        ++m_findings.starts;
+        m_findings.falseNotRun += job.refused && !job.mayHaveRun ? 1 : 0;
+        for (const auto& it : m_agents)
+            m_findings.overlaps += static_cast<uint64_t>(
+                std::count_if(it->runs.begin(), it->runs.end(), [&](const Run& run) { return run.task == order.task; }));
+        agent.runs.push_back({ order.task, order.run, agent.needs[order.task] });
+        int64_t taken = 0;
+        for (const auto& it : agent.runs)
+            taken += it.need;
+        m_findings.overCapacity += taken > coresMilli ? 1 : 0;
+        after(job.work, [this, &agent, order] { endRun(agent, order.task, order.run, RunEnd::Done); });
+        return StartVerdict::Accepted;
+    }
+
+    void endRun(Agent& agent, const StepTask& task, uint64_t number, RunEnd how)
+    {
+        const auto it = std::find_if(
+            agent.runs.begin(), agent.runs.end(), [&](const Run& run) { return run.task == task && run.number == number; });
+        if (it == agent.runs.end())
+            return;
+        agent.runs.erase(it);
+        agent.ended.push_back({ ++agent.lastEnd, task, number, how });
+        uint64_t& closed = agent.closed[task];
+        closed = std::max(closed, number);
+        if (agent.hold != 0)
+            answerHold(agent, agent.hold);
+    }
+
+    void startHold(Agent& agent)
+    {
+        const HoldOrder order = agent.table->nextHold(m_now);
+        const uint64_t number = agent.hold = ++agent.lastHold;
+        agent.holdSent = m_now;
+        const bool undone = chance(agent.trouble.undone);
+        agent.holdUnanswered = undone || chance(agent.trouble.lostAnswers);
+        if (!undone) {
+            std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
+            if (order.leaseUntilMs)
+                renewLease(agent, *order.leaseUntilMs);
+            after(agent.ended.empty() ? order.wait + upstreamDelay : upstreamDelay,
+                [this, &agent, number] { answerHold(agent, number); });
+        }
+        after(order.wait + holdMargin, [this, &agent, number] {
+            if (!agent.holdUnanswered || agent.lastHold != number)
+                return;
+            agent.table->onHoldFailure(m_now, false);
+            startHold(agent);
+            processAgent(agent);
+        });
+    }
+
+    void answerHold(Agent& agent, uint64_t number)
+    {
+        if (agent.hold != number)
+            return;
+        agent.hold = 0;
+        if (agent.holdUnanswered)
+            return;
+        expireLease(agent);
+        Listing listing;
+        listing.bornMs = 1;
+        listing.clockMs = clockMs(agent);
+        for (const auto& it : agent.runs)
+            listing.running.push_back({ it.task, it.number, 50 });
+        listing.ended = agent.ended;
+        after(upstreamDelay, [this, &agent, listing, sent = agent.holdSent] {
+            agent.table->onListing(m_now, sent, listing);
+            startHold(agent);
+            processAgent(agent);
+        });
+    }
+
+    void submitNext()
+    {
+        const std::string id = "job" + std::to_string(m_jobs.size());
+        Job& job = m_jobs[id];
+        job.request.id = id;
+        job.request.route.set_service("s");
+        job.request.route.set_attempts(2);
+        job.request.route.set_stretch_percent(160);
+        job.request.route.set_latency_target_ms(60);
+        job.work = ms(static_cast<int64_t>(100 + below(3000)));
+        StepDemand step;
+        step.count = static_cast<uint32_t>(1 + below(6));
+        step.need = { static_cast<int64_t>(2000 + below(8000)), 64, 0 };
+        // Tasks take up to four times as long as estimated.
+        step.estimateMs = static_cast<uint32_t>(std::max<int64_t>(job.work / ms(1) / static_cast<int64_t>(1 + below(4)), 1));
+        job.request.job.steps = { step };
+        job.request.patience = ms(static_cast<int64_t>(step.estimateMs + below(2500)));
+        submit(id, below(entryCount));
+        after(ms(static_cast<int64_t>(below(60))), [this] { submitNext(); });
+    }
+
+    void submit(const std::string& id, size_t n)
+    {
+        constexpr size_t maxTries = 4;
+        Job& job = m_jobs.at(id);
+        if (job.tries == maxTries)
+            return;
+        ++job.tries;
+        m_findings.resubmitted += job.tries > 1 ? 1 : 0;
+        job.exchange = job.request.exchange = ++m_lastExchange;
+        const uint64_t exchange = job.exchange;
+        m_waiting[exchange] = { id, n };
+        Entry& entry = *m_entries[n];
+        entry.table->submit(
+            m_now, job.request, [this, id, n, exchange](const JobOutcome& it) { onOutcome(id, n, exchange, it); });
+        entry.table->flush(m_now);
+        // Some callers leave, or their connections are reset.
+        if (chance(15))
+            after(ms(static_cast<int64_t>(below(1500))), [this, id, n, exchange] {
+                if (m_waiting.erase(exchange) == 0)
+                    return;
+                m_jobs.at(id).mayHaveRun = true;
+                after(Duration(static_cast<int64_t>(below(static_cast<uint64_t>(maxAbandonDelay.count())))), [this, n, exchange] {
+                    m_entries[n]->table->abandon(m_now, exchange);
+                    m_entries[n]->table->flush(m_now);
+                });
+                after(resubmitDelay, [this, id, n] { submit(id, (n + 1) % entryCount); });
+            });
+    }
+
+    void onOutcome(const std::string& id, size_t n, uint64_t exchange, const JobOutcome& outcome)
+    {
+        if (m_waiting.erase(exchange) == 0)
+            return;
+        Job& job = m_jobs.at(id);
+        if (outcome.kind == JobOutcome::Kind::MayHaveRun) {
+            job.mayHaveRun = true;
+            after(linkDelay + resubmitDelay, [this, id, n] { submit(id, (n + 1) % entryCount); });
+        } else if (outcome.kind == JobOutcome::Kind::NotRun) {
+            job.refused = true;
+            m_findings.falseNotRun += job.starts > 0 && !job.mayHaveRun ? 1 : 0;
+        }
+    }
+
+    // Begins one disturbance; they come in series and overlap.
+    void disturb()
+    {
+        Agent& agent = *m_agents[below(agentCount)];
+        const size_t n = below(entryCount);
+        switch (below(7)) {
+        case 0:
+            agent.trouble = { 29, 40, 0, 0, 0 };
+            break;
+        case 1:
+            agent.trouble = { 10, 0, 45 + below(50), 0, 0 };
+            break;
+        case 2:
+            agent.trouble = { 0, 20, 0, 40, 0 };
+            break;
+        case 3:
+            for (const auto& it : m_agents) {
+                Link& state = link(n, it->id);
+                ++state.generation;
+                state.downUntil = m_now + ms(static_cast<int64_t>(50 + below(250)));
+            }
+            break;
+        case 4:
+            killEntry(n);
+            break;
+        case 5:
+            agent.trouble = { 0, 0, 0, 0, 100 };
+            break;
+        case 6:
+            m_entries[n]->busyUntil = m_now + ms(static_cast<int64_t>(below(6000)));
+            break;
+        default:
+            break;
+        }
+        after(ms(static_cast<int64_t>(500 + below(4000))), [&agent] { agent.trouble = {}; });
+        after(ms(static_cast<int64_t>(below(1500))), [this] { disturb(); });
+    }
+
+    // The callers of a killed entry see their connections break.
+    void killEntry(size_t n)
+    {
+        std::vector<uint64_t> broken;
+        for (const auto& it : m_waiting)
+            if (it.second.second == n)
+                broken.push_back(it.first);
+        for (const uint64_t it : broken) {
+            const std::string id = m_waiting.at(it).first;
+            m_waiting.erase(it);
+            m_jobs.at(id).mayHaveRun = true;
+            after(resubmitDelay, [this, id, n] { submit(id, (n + 1) % entryCount); });
+        }
+        startEntry(n);
+    }
+
+    std::mt19937_64 m_random;
+    const TimePoint m_begin { std::chrono::hours(1) };
+    TimePoint m_now { m_begin };
+    std::priority_queue<Event> m_events;
+    uint64_t m_lastEvent = 0;
+    uint64_t m_lastIncarnation = 0;
+    uint64_t m_lastExchange = 0;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::vector<std::unique_ptr<Agent>> m_agents;
+    std::map<std::pair<size_t, AgentId>, Link> m_links;
+    std::map<std::string, Job> m_jobs;
+    // Jobs and entries of callers that wait, by exchange.
+    std::map<uint64_t, std::pair<std::string, size_t>> m_waiting;
+    Findings m_findings;
+};
+
+void initialiseLogging() { logging::initialise("model", "error", ""); }
+
+} // namespace
+
+// Fifty seeds of 20 s each. None of the findings is allowed under any order of events.
+Test(RunBounds, noTwoRunsOfATaskAtATime, .init = initialiseLogging)
+{
+    constexpr uint64_t seeds = 50;
+    Findings sum;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        FaultModel model(seed);
+        const Findings it = model.run(std::chrono::seconds(20));
+        cr_expect_eq(it.overlaps, 0, "seed %llu: %llu", static_cast<unsigned long long>(seed),
+            static_cast<unsigned long long>(it.overlaps));
+        cr_expect_eq(it.overCapacity, 0, "seed %llu", static_cast<unsigned long long>(seed));
+        cr_expect_eq(it.falseNotRun, 0, "seed %llu", static_cast<unsigned long long>(seed));
+        sum.starts += it.starts;
+        sum.resubmitted += it.resubmitted;
+        sum.lapsed += it.lapsed;
+    }
+    std::printf("starts=%llu resubmitted=%llu lapsed=%llu\n", static_cast<unsigned long long>(sum.starts),
+        static_cast<unsigned long long>(sum.resubmitted), static_cast<unsigned long long>(sum.lapsed));
+    cr_assert_gt(sum.resubmitted, 1000U);
+    cr_assert_gt(sum.lapsed, 100U);
+}
--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -15,6 +15,9 @@
         FaultKind::Restart, FaultKind::Leave };
     constexpr std::array diskFaults { FaultKind::WipeDisk, FaultKind::TearLog };
 
+    constexpr std::array runBoundUpstreamFaults { FaultKind::RefuseRepeats, FaultKind::LeaveUndone, FaultKind::LateOrders };
+    constexpr std::array runBoundEntryFaults { FaultKind::Reset, FaultKind::CutBoth, FaultKind::Kill, FaultKind::Pause };
+
     // Range of fault lengths, chosen to include values below and above every lease of the system.
     constexpr uint32_t minLengthMs = 50;
     constexpr uint32_t maxLengthMs = 3500;
@@ -50,6 +53,17 @@
             return 1;
         }
 
+        Fault nextRunBoundFault()
+        {
+            Fault fault;
+            fault.target = below(2) == 0 ? Target::Upstream : Target::Entry;
+            fault.kind = fault.target == Target::Upstream ? runBoundUpstreamFaults.at(below(runBoundUpstreamFaults.size()))
+                                                          : runBoundEntryFaults.at(below(runBoundEntryFaults.size()));
+            fault.index = below(count(fault.target));
+            fault.length = between(minLengthMs, maxLengthMs);
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -101,8 +115,9 @@
 
 std::string_view toString(FaultKind kind)
 {
-    constexpr std::array<std::string_view, 18> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
-        "delay", "reset", "silence", "slow", "hang", "fail", "late_orders", "restart", "leave", "wipe_disk", "tear_log" };
+    constexpr std::array<std::string_view, 20> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
+        "delay", "reset", "silence", "slow", "hang", "fail", "late_orders", "restart", "leave", "wipe_disk", "tear_log",
+        "refuse_repeats", "leave_undone" };
     return names.at(static_cast<size_t>(kind));
 }
 
@@ -125,7 +140,7 @@
     std::vector<Fault> plan;
     const auto lastMs = static_cast<uint32_t>(toMs(options.length) - maxLengthMs);
     for (uint32_t n = 0; n < options.series; ++n) {
-        Fault fault = generator.nextFault();
+        Fault fault = options.runBounds ? generator.nextRunBoundFault() : generator.nextFault();
         fault.at = options.calm + generator.between(0, lastMs - static_cast<uint32_t>(toMs(options.calm)));
         const bool allTargets = generator.below(100) < allTargetsPercent && fault.kind != FaultKind::WipeDisk;
         const uint32_t repeats = fault.kind == FaultKind::WipeDisk ? 1 : 1 + generator.below(maxRepeats);
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -43,6 +43,11 @@
     // Disk faults of a replica: the disk is lost; the log ends in a frame left incomplete by a crash during a write.
     WipeDisk,
     TearLog,
+    // Upstream faults of a run-bounds plan, for `length`: part of the starts are refused and part of the answers to starts are
+    // lost;
+    // part of all requests are left undone, without an answer.
+    RefuseRepeats,
+    LeaveUndone,
 };
 
 std::string_view toString(FaultKind);
@@ -76,6 +81,9 @@
     Duration length { std::chrono::seconds(14) };
     // Number of fault series, which may overlap in time.
     uint32_t series = 5;
+    // Draws only faults that decide whether a run outlasts its attempt: lost answers, refused repeats, orders that are undone or
+    // late, and entries whose links are reset or which are killed or paused.
+    bool runBounds = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -30,6 +30,22 @@
     cr_assert(std::all_of(kinds.begin(), kinds.end(), [](size_t n) { return n > 0; }));
 }
 
+Test(faultPlan, aRunBoundsPlanHitsOnlyUpstreamsAndEntries)
+{
+    PlanOptions options;
+    options.runBounds = true;
+    std::array<size_t, static_cast<size_t>(FaultKind::LeaveUndone) + 1> kinds {};
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        for (const auto& it : drawPlan(seed, {}, options)) {
+            ++kinds.at(static_cast<size_t>(it.kind));
+            cr_assert(it.target == Target::Upstream || it.target == Target::Entry);
+        }
+    }
+    for (const FaultKind it : { FaultKind::RefuseRepeats, FaultKind::LeaveUndone, FaultKind::LateOrders, FaultKind::Reset,
+             FaultKind::CutBoth, FaultKind::Kill, FaultKind::Pause })
+        cr_assert_gt(kinds.at(static_cast<size_t>(it)), 0U);
+}
+
 Test(faultPlan, losesADiskOnlyAwayFromOtherReplicaFaults)
 {
     const PlanOptions options;
