Unanswered stops are repeated at an interval

Cause: a stop without an answer was sent again at once. An upstream that is down refuses connections at once, so the agent would have sent stops and log lines in a loop until the leases had lapsed. Found by reading.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -250,7 +250,7 @@
     if (stop == nullptr)
         return;
     stop->inFlight = false;
-    stop->due = answered ? now + m_options.stopRetryInterval : now;
+    stop->due = now + (answered ? m_options.stopRetryInterval : m_options.unansweredStopRetryInterval);
 }
 
 void RunTable::confirm(TimePoint now, Run& run)
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -28,8 +28,10 @@
     Duration upstreamLease { std::chrono::milliseconds(450) };
     // Nothing is started when the last listing is older than this. Exceeds the wait of a hold plus its round trip.
     Duration listingTimeout { std::chrono::milliseconds(400) };
-    // Interval after which a stop order without effect is sent again.
+    // Interval after which a stop order is sent again: one that was answered and has had no effect, and one without an answer.
+    // The second is not zero, since an upstream that is down refuses connections at once.
     Duration stopRetryInterval { std::chrono::milliseconds(150) };
+    Duration unansweredStopRetryInterval { std::chrono::milliseconds(30) };
     // Time that a stop may take before leases are no longer renewed, so that the run ends with its lease. Those of an entry whose
     // own lease is over have none.
     Duration stopGrace { std::chrono::milliseconds(500) };
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -626,7 +626,9 @@
     cr_assert_eq(agent.stops.size(), 1);
     agent.table.onStopReply(agent.now, agent.stops.back(), false);
     agent.table.tick(agent.now);
-    cr_assert_eq(agent.stops.size(), 2, "at once after a missing answer");
+    cr_assert_eq(agent.stops.size(), 1, "an upstream that is down refuses each order at once");
+    later(40);
+    cr_assert_eq(agent.stops.size(), 2, "soon after a missing answer");
     agent.table.onStopReply(agent.now, agent.stops.back(), true);
     later(100);
     cr_assert_eq(agent.stops.size(), 2, "an answered stop has some time to take effect");
