Log how many connections a failed request used, and how many starts a restarted upstream leaves undecided

The detail of a failed request now names the connections on which it was begun; upstream_restarted has starting= and undecided=. No decision changes.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -74,7 +74,16 @@
 void RunTable::beginIncarnation(TimePoint now, uint64_t bornMs)
 {
     if (m_bornMs != 0) {
-        Event(Level::Warn, "upstream_restarted").with("born", bornMs).with("before", m_bornMs).with("runs", running());
+        const auto starting
+            = std::count_if(m_runs.begin(), m_runs.end(), [](const auto& it) { return it.second.state == State::Starting; });
+        const auto undecided = std::count_if(
+            m_runs.begin(), m_runs.end(), [](const auto& it) { return it.second.state == State::Starting && it.second.mayRun; });
+        Event(Level::Warn, "upstream_restarted")
+            .with("born", bornMs)
+            .with("before", m_bornMs)
+            .with("runs", running())
+            .with("starting", static_cast<uint64_t>(starting))
+            .with("undecided", static_cast<uint64_t>(undecided));
         markRunsLost(now, "upstream_restarted");
     }
     m_bornMs = bornMs;
--- a/fescuegw/http/Client.cpp
+++ b/fescuegw/http/Client.cpp
@@ -55,6 +55,20 @@
         return n;
     }
 
+    // Called when a connection is made or reused, before the request is sent on it. When a kept connection breaks before the
+    // response, libcurl connects anew and sends the request again by itself.
+    int onConnected(void* user, char* /*remoteIp*/, char* /*localIp*/, int /*remotePort*/, int /*localPort*/)
+    {
+        ++*static_cast<size_t*>(user);
+        return CURL_PREREQFUNC_OK;
+    }
+
+    std::string detailOf(CURLcode code, size_t connections)
+    {
+        return curl_easy_strerror(code)
+            + (connections == 0 ? std::string() : "; connections used: " + std::to_string(connections));
+    }
+
     Verdict verdictOf(CURLcode code)
     {
         switch (code) {
@@ -119,10 +133,13 @@
         curl_easy_setopt(handle, CURLOPT_READDATA, &unsent);
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
     }
+    size_t connections = 0;
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &onConnected);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &connections);
     const CURLcode code = curl_easy_perform(handle);
     curl_slist_free_all(headers);
     if (code != CURLE_OK)
-        return tl::unexpected(Error { verdictOf(code), statusBadGateway, curl_easy_strerror(code) });
+        return tl::unexpected(Error { verdictOf(code), statusBadGateway, detailOf(code, connections) });
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<int>(status);
