A refused reconnect no longer turns a request that was sent into one that has not run

Cause: the agent keeps its connections. When one is reset after the start was sent, libcurl connects anew by itself. That connection is refused while the upstream is down, and the client saw the last error only, CURLE_COULDNT_CONNECT, which it took for proof that nothing was sent.

Evidence: Client::aRefusedReconnectDoesNotMakeASentRequestNotRun failed before, with and without a body: "POST: Couldn't connect to server; connections used: 1".

Why it works: libcurl reports each connection before it sends the request on it. If there was one, the verdict is MayHaveRun whatever the last error is; the run stays undecided at the agent until a listing or its lease decides.

--- a/fescuegw/http/Client.cpp
+++ b/fescuegw/http/Client.cpp
@@ -69,8 +69,12 @@
             + (connections == 0 ? std::string() : "; connections used: " + std::to_string(connections));
     }
 
-    Verdict verdictOf(CURLcode code)
+    // The error is that of the last connection. A refused connection proves that the request has not run only if the request was
+    // not begun on an earlier one.
+    Verdict verdictOf(CURLcode code, size_t connections)
     {
+        if (connections > 0)
+            return Verdict::MayHaveRun;
         switch (code) {
         case CURLE_COULDNT_CONNECT:
         case CURLE_COULDNT_RESOLVE_HOST:
@@ -139,7 +143,7 @@
     const CURLcode code = curl_easy_perform(handle);
     curl_slist_free_all(headers);
     if (code != CURLE_OK)
-        return tl::unexpected(Error { verdictOf(code), statusBadGateway, detailOf(code, connections) });
+        return tl::unexpected(Error { verdictOf(code, connections), statusBadGateway, detailOf(code, connections) });
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<int>(status);
--- a/fescuegw/http/Client.h
+++ b/fescuegw/http/Client.h
@@ -48,7 +48,7 @@
     Client& operator=(Client&&) = delete;
 
     // Sends the request at most once. Returns the response whatever its status. Fails when there is no complete response or the
-    // body does not match its digest; the verdict is NotRun only when no connection was made.
+    // body does not match its digest; the verdict is NotRun only when the request was not begun on any connection.
     Result<ClientResponse> call(const ClientRequest&);
 
 private:
--- a/fescuegw/http/ClientTest.cpp
+++ b/fescuegw/http/ClientTest.cpp
@@ -15,11 +15,18 @@
 
 namespace {
 
-// Answers the first request of each connection and closes the connection without a response on the next one.
+enum class Listening : uint8_t {
+    Always,
+    // Refuses connections after the first one.
+    Once,
+};
+
+// Answers the first request of each connection and resets the connection without a response on the next one.
 class BreakingServer {
 public:
-    BreakingServer()
-        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    explicit BreakingServer(Listening listening = Listening::Always)
+        : m_listening(listening)
+        , m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
@@ -36,7 +43,8 @@
     {
         (void)shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
-        close(m_listener);
+        if (m_listening == Listening::Always)
+            close(m_listener);
     }
     BreakingServer(const BreakingServer&) = delete;
     BreakingServer& operator=(const BreakingServer&) = delete;
@@ -53,19 +61,25 @@
             const int connection = accept(m_listener, nullptr, nullptr);
             if (connection < 0)
                 return;
+            if (m_listening == Listening::Once)
+                close(m_listener);
             for (int n = 0; receiveRequest(connection) && n == 0; ++n) {
                 const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
                 (void)!write(connection, response.data(), response.size());
             }
+            const linger reset { 1, 0 };
+            (void)setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
             close(connection);
+            if (m_listening == Listening::Once)
+                return;
         }
     }
 
-    // The body of each request is "{}".
+    // The body of each request is "{}", or empty with GET.
     bool receiveRequest(int connection)
     {
         std::string request;
-        while (!request.ends_with("{}")) {
+        while (!request.ends_with(request.starts_with("GET") ? "\r\n\r\n" : "{}")) {
             char buf[512];
             const ssize_t n = read(connection, buf, sizeof buf);
             if (n <= 0)
@@ -76,6 +90,7 @@
         return true;
     }
 
+    const Listening m_listening;
     int m_listener;
     uint16_t m_port = 0;
     std::atomic<int> m_received { 0 };
@@ -103,6 +118,32 @@
     cr_assert(client.call(request).has_value(), "the next request uses a new connection");
 }
 
+// An upstream receives a request on a kept connection and crashes. The refusal of the next connection says nothing about the
+// request: called not run, it would be started elsewhere, or its caller told that it has not run.
+Test(Client, aRefusedReconnectDoesNotMakeASentRequestNotRun)
+{
+    initialiseClients();
+    for (const std::string method : { "POST", "GET" }) {
+        BreakingServer server(Listening::Once);
+        Client client(Connections::Kept);
+        ClientRequest request;
+        request.method = "POST";
+        request.url = server.url();
+        request.body = "{}";
+        cr_assert(client.call(request).has_value());
+        request.method = method;
+        request.body = method == "GET" ? "" : "{}";
+        const auto response = client.call(request);
+        cr_assert_not(response.has_value());
+        cr_expect(response.error().verdict == Verdict::MayHaveRun, "%s: %s", method.c_str(), response.error().detail.c_str());
+        cr_assert_eq(server.received(), 2);
+        const auto refused = client.call(request);
+        cr_assert_not(refused.has_value());
+        cr_assert(refused.error().verdict == Verdict::NotRun, "a refused connection, and nothing sent: %s",
+            refused.error().detail.c_str());
+    }
+}
+
 // An upstream sends more than its listing can have; collecting it would use up the memory of the process.
 Test(Client, responsesAreLimited)
 {
