A start that an upstream may have run before it restarted is no longer reported as not started

A task runs, its upstream crashes before it answers, and the job may be refused with verdict not-run.

Cause: an unanswered start is settled by the first listing that is newer than its lease and does not show it. After a restart that listing comes from a process that has no record of earlier runs, and its clock does not compare with the lease.

Why it works: a start that was on its way when the upstream restarted may have ended with the process before. It keeps its resources until its last send is over by the agent's own clock, and is then reported as lost.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -96,12 +96,15 @@
     m_health = UpstreamHealth();
 }
 
-// A start in flight may still reach the restarted upstream, so its resources stay reserved until its lease expires.
+// A start in flight may still reach the restarted upstream, so its resources stay reserved until its lease expires. The process
+// before may have carried it out.
 void RunTable::markRunsLost(TimePoint now, const std::string& reason)
 {
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        if (it->second.state == State::Running || it->second.state == State::Stopping)
+        if (it->second.state == State::Starting)
+            it->second.mayHaveEnded = true;
+        else
             finish(now, it, wire::ATTEMPT_LOST, reason);
         it = next;
     }
@@ -227,7 +230,8 @@
     run.sentAt = now;
     ++run.sendCount;
     run.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
-    m_leasesExpireAt = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease));
+    run.leaseOverAt = UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease);
+    m_leasesExpireAt = std::max(m_leasesExpireAt, run.leaseOverAt);
     m_hooks.start(serial, StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence });
 }
 
@@ -426,12 +430,16 @@
         const Run& run = it->second;
         if (!listed.contains(it->first)) {
             // Missing: the listing is newer than the confirmation of the run. Never started: the listing is newer than the lease
-            // of the start, so the upstream refuses that start from now on.
+            // of the start, so the upstream refuses that start from now on. The clock of a restarted upstream does not compare
+            // with that lease.
             const bool missing = run.confirmed && run.confirmedAt < sent;
-            const bool neverStarted = !run.confirmed && run.sentAt < sent && listing.clockMs > run.leaseUntilMs;
+            const bool notRunning = !run.confirmed && run.sentAt < sent
+                && (run.mayHaveEnded ? run.leaseOverAt < sent : listing.clockMs > run.leaseUntilMs);
             if (missing)
                 finish(now, it, wire::ATTEMPT_LOST, "vanished");
-            else if (neverStarted)
+            else if (notRunning && run.mayHaveEnded)
+                finish(now, it, wire::ATTEMPT_LOST, "start_unanswered");
+            else if (notRunning)
                 finish(now, it, wire::ATTEMPT_NOT_STARTED, "start_unanswered");
         }
         it = next;
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -120,8 +120,12 @@
         uint32_t sendCount = 0;
         // A send of the start had no answer, so the task may run whatever the other sends are answered.
         bool mayRun = false;
+        // Listings cannot show whether the task has run: a process of the upstream that no longer exists may have run it.
+        bool mayHaveEnded = false;
         TimePoint sentAt;
+        // Of the last send: on the upstream's clock, and when it is certain to be over.
         uint64_t leaseUntilMs = 0;
+        TimePoint leaseOverAt;
         bool confirmed = false;
         TimePoint confirmedAt;
         uint32_t percent = 0;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -435,6 +435,30 @@
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
 }
 
+// An upstream crashes under an unanswered start. The listings of its next process know nothing of what ran before; taken for
+// proof that the task never started, they would let its caller be told so.
+Test(RunTable, anUnansweredStartIsLostWithARestartOfTheUpstream)
+{
+    for (const int64_t downtime : { 50, 2000 }) {
+        Agent agent;
+        agent.start("e1", "job");
+        const uint64_t serial = agent.starts.back().first;
+        agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+        agent.table.onStartReply(agent.now, serial, StartVerdict::Unhealthy, std::nullopt);
+        agent.advance(ms(downtime));
+        agent.announce(2, 1, false);
+        for (int n = 0; n < 10; ++n) {
+            agent.list({}, {});
+            agent.advance(ms(100));
+        }
+        cr_assert_eq(agent.reports.size(), 1);
+        cr_assert_eq(
+            agent.lastState(), wire::ATTEMPT_LOST, "%s after %d ms", agent.lastReason().c_str(), static_cast<int>(downtime));
+        agent.start("e1", "other", 60000);
+        cr_assert_eq(agent.starts.back().second.task.job, "other", "its resources are free again");
+    }
+}
+
 // A start that was refused each time has not run, so its task can be started elsewhere at once.
 Test(RunTable, aStartThatIsAlwaysRefusedIsGivenBackAtOnce)
 {
