An unreadable row of a listing no longer proves that a start has not run

Cause: the row of a task's end cannot be read, and a later row acknowledges it, so the upstream forgets it. The next whole listing shows neither run nor end, and an unanswered start was reported as not started.

Evidence: RunTable::anUnansweredStartIsLostWithAnUnreadableEnd failed before (ATTEMPT_NOT_STARTED). arbiter_test passes now, 45 of 45.

Why it works: a listing with an unreadable row leaves every unanswered start in doubt; it ends as lost, not as not started.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -423,8 +423,11 @@
     }
     applyOrphans(orphaned);
     // A run that is not listed may be the one of a row that could not be read.
-    if (!listing.complete)
+    if (!listing.complete) {
+        for (auto& it : m_runs)
+            it.second.mayHaveEnded = it.second.mayHaveEnded || !it.second.confirmed;
         return;
+    }
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         const Run& run = it->second;
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -120,7 +120,8 @@
         uint32_t sendCount = 0;
         // A send of the start had no answer, so the task may run whatever the other sends are answered.
         bool mayRun = false;
-        // Listings cannot show whether the task has run: a process of the upstream that no longer exists may have run it.
+        // Later listings cannot show whether the task has run: the upstream has restarted since the start was sent, or a row that
+        // could not be read may have been its end.
         bool mayHaveEnded = false;
         TimePoint sentAt;
         // Of the last send: on the upstream's clock, and when it is certain to be over.
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -659,3 +659,21 @@
     later(100);
     cr_assert_eq(agent.stops.size(), 3);
 }
+
+// The end of a task is listed in a row that can't be read, and is acknowledged with a later one. The listings after that do not
+// show whether the task has run.
+Test(RunTable, anUnansweredStartIsLostWithAnUnreadableEnd)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered, std::nullopt);
+    agent.advance(ms(20));
+    agent.table.onListing(
+        agent.now, agent.now, Listing { agent.incarnation, agent.clock(), {}, { ended(2, "other", 1, RunEnd::Done) }, false });
+    for (int n = 0; n < 10; ++n) {
+        agent.advance(ms(100));
+        agent.list({}, {});
+    }
+    cr_assert_eq(agent.reports.size(), 1);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
+}
