A task under which two upstreams have crashed is given up, over all submissions of its job

Cause: JobTable::onLost queues a lost task again and counts nothing, and a job that is submitted again begins at nothing.

Why it works: an agent that sees its upstream in a new process tells all entries which attempts may have been under the crash, before it reports their ends, and entries that start within 30 s learn of it too. Entries count crashes by task, and answer the job as failed at the second one. Losses that nobody explains count against a limit of five attempts.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -54,6 +54,7 @@
                   m_grants.Increment();
                   m_links.grant(entry, it);
               },
+              [this](TimePoint now, const wire::AttemptReport& it) { m_links.broadcast(now, it); },
           })
     , m_links(m_settings.process.name, m_settings.links)
     , m_done(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "done"))
--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -47,6 +47,7 @@
             link.seenSequence = 0;
         }
         link.entry = message.entry();
+        addBroadcasts(now, link);
     }
     link.seenSequence = std::max(link.seenSequence, message.sequence());
     const uint64_t acknowledged = std::max(message.acked_reports() + 1, link.firstReport) - link.firstReport;
@@ -83,6 +84,26 @@
     link->sendNow = true;
 }
 
+void EntryLinks::broadcast(TimePoint now, const wire::AttemptReport& report)
+{
+    m_broadcasts.emplace_back(now, report);
+    while (m_broadcasts.size() > m_options.maxBroadcasts || now - m_broadcasts.front().first > m_options.broadcastRetention)
+        m_broadcasts.pop_front();
+    for (auto& it : m_links) {
+        if (it.second.entry.empty())
+            continue;
+        it.second.reports.push_back(report);
+        it.second.sendNow = true;
+    }
+}
+
+void EntryLinks::addBroadcasts(TimePoint now, Link& link)
+{
+    for (const auto& it : m_broadcasts)
+        if (now - it.first <= m_options.broadcastRetention)
+            link.reports.push_back(it.second);
+}
+
 void EntryLinks::send(TimePoint now, const AgentId& self, const std::function<wire::UpstreamOffer()>& offer, const SendHook& send)
 {
     std::optional<wire::UpstreamOffer> current;
--- a/fescuegw/arbiter/EntryLinks.h
+++ b/fescuegw/arbiter/EntryLinks.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -27,6 +28,10 @@
     // The link of a listed entry that is no longer in the agent's subset is kept for this long after its last message. An entry
     // with attempts at the agent sends several messages a second.
     Duration surplusRetention { std::chrono::seconds(2) };
+    // Broadcast reports are kept for this long, up to `maxBroadcasts` of them. Longer than any caller keeps retrying the same
+    // job.
+    Duration broadcastRetention { std::chrono::seconds(30) };
+    size_t maxBroadcasts = 256;
     EntrySubsetOptions subset;
 };
 
@@ -54,6 +59,9 @@
     void report(const std::string& entry, const wire::AttemptReport&);
     void grant(const std::string& entry, const wire::Grant&);
 
+    // Queues a report for all entries, and for those that become known within `broadcastRetention`.
+    void broadcast(TimePoint now, const wire::AttemptReport&);
+
     // Sends the messages that are due. `offer` is called once if there are any.
     void send(TimePoint now, const AgentId& self, const std::function<wire::UpstreamOffer()>& offer, const SendHook&);
 
@@ -86,12 +94,14 @@
     };
 
     Link* findLink(const std::string& entry);
+    void addBroadcasts(TimePoint now, Link&);
 
     std::string m_agent;
     EntryLinksOptions m_options;
     std::map<std::string, Link> m_links;
     // Highest report number of removed links. New links use higher ones, since an entry may still know those of a former link.
     uint64_t m_discardedReports = 0;
+    std::deque<std::pair<TimePoint, wire::AttemptReport>> m_broadcasts;
 };
 
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/EntryLinksTest.cpp
+++ b/fescuegw/arbiter/EntryLinksTest.cpp
@@ -92,6 +92,31 @@
     cr_assert_eq(agent.sent.back().first_report(), 3);
 }
 
+// An entry that starts again has no record of crashes, and callers submit their jobs to it again.
+Test(EntryLinks, broadcastsReachAllEntriesAndTheNextProcessOfEach)
+{
+    Agent agent;
+    agent.receive("e/1", 0, 250);
+    agent.send();
+    wire::AttemptReport crash;
+    crash.set_state(wire::ATTEMPT_CRASHED);
+    agent.links.broadcast(agent.now, crash);
+    agent.advance(1);
+    cr_assert_eq(agent.sent.back().reports_size(), 1);
+    cr_assert_eq(agent.sent.back().reports(0).state(), wire::ATTEMPT_CRASHED);
+    agent.receive("e/1", 1, 250);
+    cr_assert(agent.links.allAcknowledged());
+    agent.receive("e/2", 0, 250);
+    agent.advance(250);
+    cr_assert_eq(agent.sent.back().reports_size(), 1, "the next process is told too");
+    agent.receive("e/2", agent.sent.back().first_report(), 250);
+    cr_assert(agent.links.allAcknowledged());
+    agent.advance(31000);
+    agent.receive("e/3", 0, 250);
+    agent.advance(250);
+    cr_assert_eq(agent.sent.back().reports_size(), 0, "no caller retries for that long");
+}
+
 Test(EntryLinks, endReportsAreSentAtOnceAndStartReportsAreNot)
 {
     Agent agent;
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -84,6 +84,7 @@
             .with("runs", running())
             .with("starting", static_cast<uint64_t>(starting))
             .with("undecided", static_cast<uint64_t>(undecided));
+        reportCrash(now);
         markRunsLost(now, "upstream_restarted");
     }
     m_bornMs = bornMs;
@@ -96,6 +97,25 @@
     m_health = UpstreamHealth();
 }
 
+// Sent before the end of the attempts is reported, so that an entry knows of the crash when it decides about the next attempt.
+void RunTable::reportCrash(TimePoint now)
+{
+    std::vector<wire::AttemptKey> attempts = std::move(m_lostUnreachable);
+    m_lostUnreachable.clear();
+    for (const auto& it : m_runs)
+        if (it.second.state != State::Starting || it.second.mayRun)
+            attempts.push_back(it.second.request.key());
+    if (!m_hooks.broadcast)
+        return;
+    for (const auto& it : attempts) {
+        wire::AttemptReport report;
+        *report.mutable_key() = it;
+        report.set_state(wire::ATTEMPT_CRASHED);
+        report.set_process_ms(m_bornMs);
+        m_hooks.broadcast(now, report);
+    }
+}
+
 // A start in flight may still reach the restarted upstream, so its resources stay reserved until its lease expires. The process
 // before may have carried it out.
 void RunTable::markRunsLost(TimePoint now, const std::string& reason)
@@ -394,6 +414,7 @@
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
+    m_lostUnreachable.clear();
     m_clock.update(now, listing.clockMs);
     if (!m_lastListingAt)
         Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
@@ -522,8 +543,10 @@
 {
     if (now <= m_leasesExpireAt)
         return;
-    while (!m_runs.empty())
+    while (!m_runs.empty()) {
+        m_lostUnreachable.push_back(m_runs.begin()->second.request.key());
         finish(now, m_runs.begin(), wire::ATTEMPT_LOST, "lease_lapsed");
+    }
 }
 
 void RunTable::enforceEntryLeases(TimePoint now)
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -53,6 +53,8 @@
     // `entry` is the identity of the process that asked for the attempt.
     std::function<void(const std::string& entry, const wire::AttemptReport&)> report;
     std::function<void(const std::string& entry, const wire::Grant&)> grant;
+    // For all entries.
+    std::function<void(TimePoint now, const wire::AttemptReport&)> broadcast;
 };
 
 // Arbitrates the capacity of one upstream among all entries. Runs never exceed the announced capacity: resources are reserved
@@ -153,6 +155,7 @@
     void settle(TimePoint now, const std::string& entry, const wire::AttemptKey&);
     void forgetSettled(TimePoint now);
     void beginIncarnation(TimePoint now, uint64_t bornMs);
+    void reportCrash(TimePoint now);
     void markRunsLost(TimePoint now, const std::string& reason);
     Runs::iterator find(const StepTask&, uint64_t run);
     void confirm(TimePoint now, Run&);
@@ -200,6 +203,8 @@
     std::optional<TimePoint> m_lastListingAt;
     std::optional<TimePoint> m_holdFailedAt;
     TimePoint m_leasesExpireAt;
+    // Attempts that were lost while the upstream was out of reach: it may have crashed under them.
+    std::vector<wire::AttemptKey> m_lostUnreachable;
     bool m_departed = false;
     bool m_draining = false;
 };
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -17,7 +17,8 @@
             { [this](uint64_t serial, const StartOrder& order) { starts.emplace_back(serial, order); },
                 [this](const StopOrder& order) { stops.push_back(order); },
                 [this](const std::string& entry, const wire::AttemptReport& report) { reports.emplace_back(entry, report); },
-                [this](const std::string& entry, const wire::Grant& grant) { grants.emplace_back(entry, grant); } })
+                [this](const std::string& entry, const wire::Grant& grant) { grants.emplace_back(entry, grant); },
+                [this](TimePoint, const wire::AttemptReport& report) { broadcasts.push_back(report); } })
     {
         announce(1, 1, false);
         list({}, {});
@@ -99,6 +100,7 @@
     HoldOrder hold;
     std::vector<std::pair<std::string, wire::AttemptReport>> reports;
     std::vector<std::pair<std::string, wire::Grant>> grants;
+    std::vector<wire::AttemptReport> broadcasts;
     RunTable table;
 };
 
@@ -459,6 +461,50 @@
     }
 }
 
+// Entries count the crashes under a task, so each one must be told, also of attempts whose leases ended before the upstream was
+// back, and none of attempts that cannot have been there.
+Test(RunTable, aCrashIsReportedForTheAttemptsUnderIt)
+{
+    Agent agent;
+    agent.start("e1", "running");
+    agent.confirm();
+    agent.start("e2", "undecided");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered, std::nullopt);
+    agent.start("e1", "refused");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
+    agent.announce(2, 1, false);
+    cr_assert_eq(agent.broadcasts.size(), 2);
+    cr_assert_eq(agent.broadcasts[0].key().job(), "running");
+    cr_assert_eq(agent.broadcasts[1].key().job(), "undecided");
+    cr_assert_eq(agent.broadcasts[0].state(), wire::ATTEMPT_CRASHED);
+    cr_assert_eq(agent.broadcasts[0].process_ms(), 1);
+
+    agent.advance(ms(1000));
+    agent.list({}, {});
+    agent.start("e1", "lapsed");
+    agent.confirm();
+    agent.advance(ms(1000));
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.lastReason(), "lease_lapsed");
+    agent.announce(3, 1, false);
+    cr_assert_eq(agent.broadcasts.size(), 3);
+    cr_assert_eq(agent.broadcasts[2].key().job(), "lapsed");
+}
+
+// An upstream that was only out of reach has not crashed.
+Test(RunTable, noCrashIsReportedForAnUpstreamThatLivesOn)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.advance(ms(1000));
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.lastReason(), "lease_lapsed");
+    agent.list({}, {});
+    agent.announce(2, 1, false);
+    cr_assert(agent.broadcasts.empty());
+}
+
 // A start that was refused each time has not run, so its task can be started elsewhere at once.
 Test(RunTable, aStartThatIsAlwaysRefusedIsGivenBackAtOnce)
 {
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -54,6 +54,10 @@
 
 void JobTable::applyReport(TimePoint now, const AgentId& agent, const wire::AttemptReport& report)
 {
+    if (report.state() == wire::ATTEMPT_CRASHED) {
+        onCrash(now, agent, report);
+        return;
+    }
     const auto it = m_jobs.find(report.key().job());
     const uint32_t step = report.key().step();
     const uint32_t index = report.key().index();
@@ -140,6 +144,48 @@
     enqueue(now, job, step, index);
 }
 
+// A task that crashes its upstreams would take down one after another: neither its end nor its caller's patience bounds it. The
+// count is kept beyond the job, since its caller submits it again after an unclear end.
+void JobTable::onCrash(TimePoint now, const AgentId& agent, const wire::AttemptReport& report)
+{
+    const StepTask task = wire::toStepTask(report.key());
+    const uint32_t before = m_crashes.count(now, task);
+    const uint32_t crashes = m_crashes.add(now, task, { agent.name, report.process_ms() });
+    if (crashes == before)
+        return;
+    ++m_counters.crashesUnderTasks;
+    const auto it = m_jobs.find(task.job);
+    if (it == m_jobs.end())
+        return;
+    Event(Level::Warn, "upstream_crashed")
+        .with("request", task.job)
+        .with("task", std::to_string(task.step) + "/" + std::to_string(task.index))
+        .with("agent", toString(agent))
+        .with("process", report.process_ms())
+        .with("crashes", crashes);
+    if (!it->second.answered && failCrashing(now, it->second))
+        stopAttempts(now, it->second);
+}
+
+// Answers a job of which a task has crashed too many upstreams. Returns whether there is one.
+bool JobTable::failCrashing(TimePoint now, Job& job)
+{
+    if (m_crashes.size() == 0)
+        return false;
+    for (size_t step = 0; step < job.steps.size(); ++step) {
+        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            const uint32_t crashes
+                = m_crashes.count(now, { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) });
+            if (crashes < m_options.maxCrashes)
+                continue;
+            ++m_counters.failedByCrashes;
+            answer(now, job, { JobOutcome::Kind::Failed, std::to_string(crashes) + "_upstreams_crashed", 0 });
+            return true;
+        }
+    }
+    return false;
+}
+
 void JobTable::onNotStarted(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
 {
     if (job.answered)
@@ -161,10 +207,14 @@
 void JobTable::onLost(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
 {
     ++m_counters.lostAttempts;
+    Task& task = job.steps[step].tasks[index];
+    ++task.lost;
     if (job.answered)
         return;
     if (job.refusing)
         endUnfinished(now, job, reason);
+    else if (task.lost >= m_options.maxLostAttempts)
+        endUnfinished(now, job, "lost_too_often: " + reason);
     else
         enqueue(now, job, step, index);
 }
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -19,6 +19,7 @@
     , m_offerPace(options.offerPace)
     , m_placement(options.placement, m_hooks.random)
     , m_demandNotifier(options.demand)
+    , m_crashes(options.crashes)
 {
 }
 
@@ -41,6 +42,8 @@
     }
     job.request = std::move(request);
     job.number = ++m_lastNumber;
+    if (failCrashing(now, job))
+        return;
     // A caller may submit a job again before the attempts of its previous submission are known to have ended.
     const std::string reason = busy ? "earlier_attempts_ending" : refusalReason(now, job);
     if (!reason.empty()) {
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -12,6 +12,7 @@
 #include <direct.pb.h>
 
 #include "fescuegw/direct/Admission.h"
+#include "fescuegw/direct/CrashHistory.h"
 #include "fescuegw/direct/DemandNotifier.h"
 #include "fescuegw/direct/Job.h"
 #include "fescuegw/direct/OfferPace.h"
@@ -50,6 +51,11 @@
     // Limit on the attempts at one task, whatever their outcome: bounds the messages about a task that every upstream gives
     // back.
     uint32_t maxAttempts = 40;
+    // Crashes of upstreams under a task, over all submissions of its job, after which the job fails.
+    uint32_t maxCrashes = 2;
+    // Limit on the attempts at one task that ended without a result. Each may have been a crash that nobody reports.
+    uint32_t maxLostAttempts = 5;
+    CrashHistoryOptions crashes;
     // Limit on the jobs in the table: bounds memory while no job makes progress.
     size_t maxJobs = 20000;
 };
@@ -72,6 +78,10 @@
     uint64_t lostAttempts = 0;
     uint64_t unmatchedReports = 0;
     uint64_t movedAttempts = 0;
+    // Crashes of upstreams, counted once for each task that was there.
+    uint64_t crashesUnderTasks = 0;
+    // Jobs that failed since upstreams crashed under one of their tasks.
+    uint64_t failedByCrashes = 0;
     uint64_t declinedGrants = 0;
     // Messages that repeated stops, since the end of the attempts was not known yet.
     uint64_t repeatedStops = 0;
@@ -121,6 +131,7 @@
         TaskState state = TaskState::Pending;
         uint32_t attempt = 0;
         uint32_t failures = 0;
+        uint32_t lost = 0;
         AgentId agent;
         bool queued = false;
         bool started = false;
@@ -182,6 +193,8 @@
     void send(TimePoint now, Job&, size_t step, size_t index, const PlacementResult&, uint64_t grant);
     void moveSlowAttempts(TimePoint now, Job&);
     void applyReport(TimePoint now, const AgentId&, const wire::AttemptReport&);
+    void onCrash(TimePoint now, const AgentId&, const wire::AttemptReport&);
+    bool failCrashing(TimePoint now, Job&);
     void onNotStarted(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
     void onFailed(TimePoint now, Job&, size_t step, size_t index);
     void onLost(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
@@ -209,6 +222,7 @@
     OfferPace m_offerPace;
     Placement m_placement;
     DemandNotifier m_demandNotifier;
+    CrashHistory m_crashes;
     PendingTaskQueue m_queue;
     Jobs m_jobs;
     uint64_t m_lastNumber = 0;
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -58,7 +58,7 @@
     }
 
     void report(const AgentId& agent, const wire::StartTask& start, wire::AttemptState state, const std::string& reason = "",
-        uint32_t cores = 0)
+        uint32_t cores = 0, uint64_t process = 0)
     {
         auto it = message(agent, cores);
         it.set_first_report(++reports[agent]);
@@ -66,10 +66,18 @@
         *added.mutable_key() = start.key();
         added.set_state(state);
         added.set_reason(reason);
+        added.set_process_ms(process);
         table.onAgent(now, it);
         table.flush(now);
     }
 
+    // The upstream's process crashes under an attempt, which is then lost.
+    void crash(const AgentId& agent, const wire::StartTask& start, uint64_t process)
+    {
+        report(agent, start, wire::ATTEMPT_CRASHED, "", 0, process);
+        report(agent, start, wire::ATTEMPT_LOST, "upstream_restarted", 64000);
+    }
+
     void submit(const std::string& id, uint32_t count, uint32_t priority = 0, uint32_t estimateMs = 200)
     {
         JobRequest request;
@@ -237,6 +245,73 @@
     cr_assert_eq(entry.starts.size(), 2);
 }
 
+// A task crashes each upstream that starts it. Started until its caller gives up, it would take them down one after another.
+Test(JobTable, aTaskThatCrashesItsUpstreamsIsGivenUp)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.offer(a2, 60000);
+    entry.submit("j", 1);
+    entry.crash(a1, entry.starts[0].second, 1);
+    cr_assert_eq(entry.starts.size(), 2, "an upstream may have crashed for another reason");
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_CRASHED, "", 0, 1);
+    cr_assert(!entry.answered("j"), "a repeated report is not another crash");
+    entry.crash(a2, entry.starts[1].second, 1);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Failed);
+    entry.advance(100);
+    cr_assert_eq(entry.starts.size(), 2);
+    cr_assert_eq(entry.table.size(), 0);
+}
+
+// The caller of a job with such a task is cut off and submits it again, here or, after the first entry's end, at another one.
+Test(JobTable, crashesCountAcrossTheSubmissionsOfAJob)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.offer(a2, 60000);
+    entry.submit("j", 1);
+    entry.crash(a1, entry.starts[0].second, 1);
+    entry.table.abandon(entry.now, entry.exchange);
+    entry.report(a2, entry.starts[1].second, wire::ATTEMPT_LOST, "withdrawn", 60000);
+    entry.advance(1300);
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    cr_assert_eq(entry.starts.size(), 3);
+    entry.crash(a1, entry.starts[2].second, 2);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Failed);
+
+    Entry other;
+    other.offer(a1, 64000);
+    wire::StartTask elsewhere;
+    elsewhere.mutable_key()->set_job("j");
+    elsewhere.mutable_key()->set_attempt(1);
+    other.report(a1, elsewhere, wire::ATTEMPT_CRASHED, "", 0, 1);
+    other.report(a2, elsewhere, wire::ATTEMPT_CRASHED, "", 0, 1);
+    other.submit("j", 1);
+    cr_assert(other.starts.empty());
+    cr_assert(other.kind("j") == JobOutcome::Kind::Failed);
+    other.offer(a1, 64000);
+    other.submit("k", 1);
+    cr_assert_eq(other.starts.size(), 1, "other jobs are not affected");
+}
+
+// Upstreams are lost under a task again and again without a report of a crash. Each loss may be one, and after three crashes a task
+// may be started twice more.
+Test(JobTable, aTaskWhoseAttemptsAreAllLostIsStartedFiveTimesAtMost)
+{
+    Entry entry;
+    for (uint64_t n = 0; n < 10; ++n) {
+        const AgentId agent { "b" + std::to_string(n), 7 };
+        entry.offer(agent, 64000);
+        if (n == 0)
+            entry.submit("j", 1);
+        if (entry.starts.size() > n)
+            entry.report(agent, entry.starts[n].second, wire::ATTEMPT_LOST, "lease_lapsed");
+    }
+    cr_assert_eq(entry.starts.size(), 5);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::MayHaveRun);
+}
+
 // An upstream becomes slow or makes no progress: the second attempt starts only after the first is known to have ended.
 Test(JobTable, aTaskOnASlowUpstreamIsMovedOnceItsEndIsKnown)
 {
