Owner's interface: a request that waits for its retry is no longer called not run

A repeatable request whose first attempt may have run is queued again; if its submission is cancelled, or another of its tasks fails, the outcome said NOT_RUN.

Cause: Submission::abandon took the state of being queued for proof that nothing has run.

Evidence: Submission::anAbandonedRetryIsNotCalledNotRun failed before; it passes now.

Why it works: a task remembers that an attempt ended without proof that it did not start.

--- a/fescuegw/dispatch/Submission.cpp
+++ b/fescuegw/dispatch/Submission.cpp
@@ -92,6 +92,7 @@
     Task& ended = task(position);
     if (!removeAttempt(ended, attempt) || ended.state != TaskState::Dispatched)
         return false;
+    ended.mayHaveRun = true;
     // Another attempt, the hedge or the original, is still outstanding and may succeed.
     if (!ended.attempts.empty())
         return true;
@@ -135,7 +136,8 @@
     for (auto& it : m_tasks) {
         if (it.state == TaskState::Succeeded || it.state == TaskState::Failed)
             continue;
-        settle(it, TaskState::Failed, it.state == TaskState::Queued ? Verdict::NotRun : Verdict::MayHaveRun, reason);
+        const bool notRun = it.state == TaskState::Queued && !it.mayHaveRun;
+        settle(it, TaskState::Failed, notRun ? Verdict::NotRun : Verdict::MayHaveRun, reason);
     }
     m_queued.clear();
 }
--- a/fescuegw/dispatch/Submission.h
+++ b/fescuegw/dispatch/Submission.h
@@ -99,7 +99,8 @@
     // Resolves the tasks that are still unresolved: queued if `startable`, else failed with MayHaveRun.
     void resolve(bool startable, const std::string& reason);
 
-    // Fails every task that has not ended: queued ones with NotRun, others with MayHaveRun.
+    // Fails every task that has not ended: with NotRun if it is queued and no attempt of it may have started, otherwise with
+    // MayHaveRun.
     void abandon(const std::string& reason);
 
     bool settled() const { return m_settled == m_tasks.size(); }
@@ -116,6 +117,8 @@
         TaskState state = TaskState::Queued;
         std::vector<Attempt> attempts;
         uint32_t nextAttempt = 1;
+        // An attempt ended without proof that it did not start.
+        bool mayHaveRun = false;
         Verdict verdict = Verdict::NotRun;
         std::string reason;
         std::string output;
