Owner's interface: a request that leaves three upstreams without an answer is given up

A repeatable request was retried as long as its team had retry tokens, ten at most, so one request could crash eleven upstreams and use up the tokens of the others.

Cause: the budget of retries is the team's; nothing counted the attempts of one request.

Evidence: Submission::aRequestThatBreaksItsUpstreamsIsGivenUp failed before (ten starts); it passes now, as do dispatch_model_test, agent_return_test, scenario-agent_killed and scenario-single_requests.

Why it works: a task counts its attempts without an answer and is not queued again after the third; failures that an upstream answers count as before.

--- a/fescuegw/dispatch/Submission.cpp
+++ b/fescuegw/dispatch/Submission.cpp
@@ -6,6 +6,13 @@
 
 namespace fescuegw::dispatch {
 
+namespace {
+
+    // Attempts without an answer after which a repeatable task fails: it may crash every upstream that runs it.
+    constexpr uint32_t maxUnclearEnds = 3;
+
+} // namespace
+
 Submission::Submission(TimePoint now, SubmissionSpec spec)
     : m_spec(std::move(spec))
     , m_submitted(now)
@@ -93,10 +100,11 @@
     if (!removeAttempt(ended, attempt) || ended.state != TaskState::Dispatched)
         return false;
     ended.mayHaveRun = true;
+    ended.unclearEnds += verdict == Verdict::MayHaveRun ? 1 : 0;
     // Another attempt, the hedge or the original, is still outstanding and may succeed.
     if (!ended.attempts.empty())
         return true;
-    if (retry && !m_spec.durable) {
+    if (retry && !m_spec.durable && ended.unclearEnds < maxUnclearEnds) {
         ended.state = TaskState::Queued;
         m_queued.push_front(position);
         return true;
--- a/fescuegw/dispatch/Submission.h
+++ b/fescuegw/dispatch/Submission.h
@@ -92,8 +92,8 @@
     // Ends an attempt with `output`. Returns false without effect if the attempt is not outstanding.
     bool succeed(int position, uint32_t attempt, std::string output);
 
-    // Ends an attempt without output. With `retry`, a repeatable task is queued again. Returns false without effect if the
-    // attempt is not outstanding.
+    // Ends an attempt without output. With `retry`, a repeatable task is queued again, unless too many of its attempts had no
+    // answer. Returns false without effect if the attempt is not outstanding.
     bool fail(int position, uint32_t attempt, Verdict verdict, const std::string& reason, bool retry);
 
     // Resolves the tasks that are still unresolved: queued if `startable`, else failed with MayHaveRun.
@@ -119,6 +119,8 @@
         uint32_t nextAttempt = 1;
         // An attempt ended without proof that it did not start.
         bool mayHaveRun = false;
+        // Attempts without an answer: the upstream may have crashed under each.
+        uint32_t unclearEnds = 0;
         Verdict verdict = Verdict::NotRun;
         std::string reason;
         std::string output;
--- a/fescuegw/dispatch/SubmissionTest.cpp
+++ b/fescuegw/dispatch/SubmissionTest.cpp
@@ -37,3 +37,22 @@
     refused.abandon("deadline");
     cr_assert_eq(refused.outcome().tasks(0).verdict(), wire::NOT_RUN);
 }
+
+// A request crashes each upstream that runs it. While its team has retry tokens, it would be sent to one after another.
+Test(Submission, aRequestThatBreaksItsUpstreamsIsGivenUp)
+{
+    Submission submission = repeatable();
+    int starts = 0;
+    while (submission.hasQueued() && starts < 10) {
+        submission.fail(0, submission.beginAttempt(now, 0, agent), Verdict::MayHaveRun, "broken", true);
+        ++starts;
+    }
+    cr_assert_eq(starts, 3);
+    cr_assert(submission.settled());
+    cr_assert_eq(submission.outcome().tasks(0).verdict(), wire::MAY_HAVE_RUN);
+
+    Submission answered = repeatable();
+    for (int n = 0; n < 5; ++n)
+        answered.fail(0, answered.beginAttempt(now, 0, agent), Verdict::Ran, "status 500", true);
+    cr_assert(answered.hasQueued(), "an upstream that answers has not crashed");
+}
