An entry that starts again is sent the reports that wait for it

Reports to the next process of an entry got numbers that the agent had used for the process before. The new process acknowledges the number that it finds in the first offer, so the agent took the new reports for received and never sent them. With that a restarted entry would not learn of crashes.

Evidence: EntryLinks::broadcastsReachTheNextProcessOfAnEntryThatHadReports failed before (no report sent); it passes now.

Why it works: numbers are not used again; those of the previous process count as discarded.

--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -42,8 +42,10 @@
         Event(Level::Info, "entry_known").with("entry", message.entry()).with("before", link.entry);
         // Another process at this address: the callers of the previous one no longer wait for its reports.
         if (!link.entry.empty()) {
-            link.reports.clear();
+            // Its numbers are not used again: the next process may acknowledge them, as found in a message to the previous one.
+            link.discardedReports = link.firstReport + link.reports.size() - 1;
             link.firstReport = link.discardedReports + 1;
+            link.reports.clear();
             link.seenSequence = 0;
         }
         link.entry = message.entry();
--- a/fescuegw/arbiter/EntryLinksTest.cpp
+++ b/fescuegw/arbiter/EntryLinksTest.cpp
@@ -219,3 +219,23 @@
     cr_assert_eq(agent.sent.size(), EntryLinksOptions().subset.size + 1);
     cr_assert_eq(accepting, EntryLinksOptions().subset.size);
 }
+
+// An entry that starts again acknowledges, in its first message, the reports up to the number that it found in an offer. The
+// broadcasts that are queued for it get lower numbers and count as acknowledged, though it has not been sent them.
+Test(EntryLinks, broadcastsReachTheNextProcessOfAnEntryThatHadReports)
+{
+    Agent agent;
+    agent.receive("e/1", 0, 250);
+    for (int n = 0; n < 3; ++n)
+        agent.report("e/1", wire::ATTEMPT_DONE);
+    wire::AttemptReport crash;
+    crash.set_state(wire::ATTEMPT_CRASHED);
+    agent.links.broadcast(agent.now, crash);
+    agent.send();
+    agent.receive("e/1", 4, 250);
+    agent.advance(250);
+    // See OfferTable::onMessage.
+    agent.receive("e/2", agent.sent.back().first_report() - 1, 250);
+    agent.advance(250);
+    cr_assert_eq(agent.sent.back().reports_size(), 1);
+}
