A start on its way to an upstream that restarts is neither sent late nor called lost

A start waits in the agent's queue, or the agent is suspended, while the upstream restarts. The clock of the next process begins anew, so an old order looks new to it, and the task could run there beside the attempt that its entry had started elsewhere.

Cause: a start was settled by time alone, counted from when it was queued, and an order was sent however long it had waited.

Why it works: an order that has waited for its lease by the agent's own clock is not sent, and after a restart no start is settled while a send of it has no answer.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -249,10 +249,12 @@
     run.state = State::Starting;
     run.sentAt = now;
     ++run.sendCount;
+    ++run.sendsInFlight;
     run.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
     run.leaseOverAt = UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease);
     m_leasesExpireAt = std::max(m_leasesExpireAt, run.leaseOverAt);
-    m_hooks.start(serial, StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence });
+    m_hooks.start(serial,
+        StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence, now + m_options.upstreamLease });
 }
 
 void RunTable::beginStop(TimePoint now, Run& run, const std::string& reason, Duration grace)
@@ -305,9 +307,12 @@
     if (clockMs)
         m_clock.update(now, *clockMs);
     const auto it = m_runs.find(serial);
-    if (it == m_runs.end() || it->second.confirmed)
+    if (it == m_runs.end())
         return;
     Run& run = it->second;
+    --run.sendsInFlight;
+    if (run.confirmed)
+        return;
     switch (verdict) {
     case StartVerdict::Accepted:
         confirm(now, run);
@@ -458,7 +463,7 @@
             // with that lease.
             const bool missing = run.confirmed && run.confirmedAt < sent;
             const bool notRunning = !run.confirmed && run.sentAt < sent
-                && (run.mayHaveEnded ? run.leaseOverAt < sent : listing.clockMs > run.leaseUntilMs);
+                && (run.mayHaveEnded ? run.sendsInFlight == 0 && run.leaseOverAt < sent : listing.clockMs > run.leaseUntilMs);
             if (missing)
                 finish(now, it, wire::ATTEMPT_LOST, "vanished");
             else if (notRunning && run.mayHaveEnded)
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -122,6 +122,8 @@
         uint32_t sendCount = 0;
         // A send of the start had no answer, so the task may run whatever the other sends are answered.
         bool mayRun = false;
+        // Sends of the start that are not complete yet.
+        uint32_t sendsInFlight = 0;
         // Later listings cannot show whether the task has run: the upstream has restarted since the start was sent, or a row that
         // could not be read may have been its end.
         bool mayHaveEnded = false;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -470,6 +470,7 @@
     agent.confirm();
     agent.start("e2", "undecided");
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered, std::nullopt);
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
     agent.start("e1", "refused");
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
     agent.announce(2, 1, false);
@@ -713,6 +714,7 @@
     Agent agent;
     agent.start("e1", "job");
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered, std::nullopt);
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
     agent.advance(ms(20));
     agent.table.onListing(
         agent.now, agent.now, Listing { agent.incarnation, agent.clock(), {}, { ended(2, "other", 1, RunEnd::Done) }, false });
@@ -723,3 +725,18 @@
     cr_assert_eq(agent.reports.size(), 1);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
 }
+
+// A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
+// does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
+// twice at the same time.
+Test(RunTable, aStartThatIsStillOnItsWayIsNotLostWithARestartOfTheUpstream)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.announce(2, 1, false);
+    for (int n = 0; n < 10; ++n) {
+        agent.advance(ms(100));
+        agent.list({}, {});
+    }
+    cr_assert(agent.reports.empty(), "its order has no answer yet: %s", agent.lastReason().c_str());
+}
--- a/fescuegw/arbiter/Upstream.h
+++ b/fescuegw/arbiter/Upstream.h
@@ -78,6 +78,8 @@
     // On the upstream's clock. The upstream refuses the order after this time, and ends the run then unless its lease is renewed.
     uint64_t leaseUntilMs = 0;
     uint64_t fence = 0;
+    // The order is not sent after this time: an upstream that has restarted since has another clock and would carry it out.
+    TimePoint sendBy = TimePoint::max();
 };
 
 struct StopOrder {
--- a/fescuegw/arbiter/UpstreamLink.cpp
+++ b/fescuegw/arbiter/UpstreamLink.cpp
@@ -51,7 +51,8 @@
 void UpstreamLink::start(uint64_t serial, const StartOrder& order)
 {
     enqueue(m_orders, m_orders.orders, [this, serial, order](const UpstreamCalls& calls) {
-        const StartAnswer answer = calls.start(order);
+        const StartAnswer answer
+            = monotonicNow() > order.sendBy ? StartAnswer { StartVerdict::Late, std::nullopt } : calls.start(order);
         m_hooks.post([this, serial, answer](TimePoint now) { m_hooks.onStart(now, serial, answer); });
     });
 }
