A late report of an earlier submission no longer ends an attempt of the next one

Attempts were numbered from 1 in each submission. An agent repeats a report until it is acknowledged; if the job was submitted again meanwhile, a repeated 'not started' ended the first attempt of the new submission, which may have been running, and the task was started again.

Why it works: an entry numbers attempts over all its jobs, so no number is used twice.

--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -153,7 +153,8 @@
         m_queue.remove(queuePosition(job, step, index));
     task.queued = false;
     task.state = TaskState::Sent;
-    ++task.attempt;
+    ++task.attempts;
+    task.attempt = ++m_lastAttempt;
     task.agent = placed.agent;
     task.started = false;
     task.stopping = false;
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -195,7 +195,7 @@
         return;
     }
     Task& task = job.steps[step].tasks[index];
-    if (task.attempt >= m_options.maxAttempts) {
+    if (task.attempts >= m_options.maxAttempts) {
         endUnfinished(now, job, "given_back_too_often: " + reason);
         return;
     }
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -115,7 +115,7 @@
         done += step.done;
         tasks += step.tasks.size();
         for (const auto& it : step.tasks)
-            attempts += it.attempt;
+            attempts += it.attempts;
     }
     Event(outcome.kind == JobOutcome::Kind::Completed ? Level::Info : Level::Warn, "job_answered")
         .with("request", job.request.id)
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -129,7 +129,9 @@
 
     struct Task {
         TaskState state = TaskState::Pending;
+        // Number of the last attempt, and how many there were.
         uint32_t attempt = 0;
+        uint32_t attempts = 0;
         uint32_t failures = 0;
         uint32_t lost = 0;
         AgentId agent;
@@ -226,6 +228,8 @@
     PendingTaskQueue m_queue;
     Jobs m_jobs;
     uint64_t m_lastNumber = 0;
+    // Attempts are numbered over all jobs: a late report of an earlier submission must not match an attempt of the next one.
+    uint32_t m_lastAttempt = 0;
     std::optional<TimePoint> m_drainUntil;
     TimePoint m_tickDue;
     TimePoint m_messageCheckDue;
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -650,3 +650,22 @@
     cr_assert_leq(11 * 1000.0 / intervalFor(11), offersPerSecond);
     cr_assert_leq(75 * 1000.0 / intervalFor(75), offersPerSecond);
 }
+
+// An agent repeats a report until it has the acknowledgement. By then the job may have been submitted again, and its first
+// attempt has the number of the one that was reported: called not started, it is started a second time.
+Test(JobTable, aRepeatedReportDoesNotEndAnAttemptOfTheNextSubmission)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_NOT_STARTED, "no_room");
+    entry.advance(400);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::NotRun);
+    entry.advance(20);
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    cr_assert_eq(entry.starts.size(), 2);
+    --entry.reports[a1];
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_NOT_STARTED, "no_room", 64000);
+    cr_assert_eq(entry.starts.size(), 2);
+}
