Crashes under a task end its submission only where another start would follow, and never as failed

Cause: every attempt that had been sent counted as one under which the upstream crashed, also without an answer, also after planned departures; and a report ended the job whatever the state of the task.

Change: the count decides when a task is about to be queued again, and when its job is submitted; the answer is may-have-run, since it is not certain that a task was at work when its upstream crashed. The limit is three crashes, two below the bound. Losses without an explanation count over all submissions too (limit five); stops of the entry's own and planned departures do not. An agent that drains does not wait for acknowledgements of these broadcasts.

--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -156,9 +156,14 @@
     return expired;
 }
 
+// Without the broadcasts, which may be for entries that have gone.
 bool EntryLinks::allAcknowledged() const
 {
-    return std::all_of(m_links.begin(), m_links.end(), [](const auto& it) { return it.second.reports.empty(); });
+    return std::all_of(m_links.begin(), m_links.end(), [](const auto& it) {
+        const auto& reports = it.second.reports;
+        return std::all_of(
+            reports.begin(), reports.end(), [](const auto& report) { return report.state() == wire::ATTEMPT_CRASHED; });
+    });
 }
 
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/EntryLinks.h
+++ b/fescuegw/arbiter/EntryLinks.h
@@ -70,6 +70,7 @@
     std::vector<std::string> expire(TimePoint now);
 
     bool empty() const { return m_links.empty(); }
+    // Whether all reports but broadcasts are acknowledged.
     bool allAcknowledged() const;
 
 private:
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -100,8 +100,11 @@
 // Sent before the end of the attempts is reported, so that an entry knows of the crash when it decides about the next attempt.
 void RunTable::reportCrash(TimePoint now)
 {
-    std::vector<wire::AttemptKey> attempts = std::move(m_lostUnreachable);
-    m_lostUnreachable.clear();
+    std::vector<wire::AttemptKey> attempts = std::move(m_possiblyCrashed);
+    m_possiblyCrashed.clear();
+    // Planned work ends what still runs.
+    if (m_departed)
+        return;
     for (const auto& it : m_runs)
         if (it.second.state != State::Starting || it.second.mayRun)
             attempts.push_back(it.second.request.key());
@@ -419,7 +422,7 @@
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
-    m_lostUnreachable.clear();
+    m_possiblyCrashed.clear();
     m_clock.update(now, listing.clockMs);
     if (!m_lastListingAt)
         Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
@@ -549,7 +552,7 @@
     if (now <= m_leasesExpireAt)
         return;
     while (!m_runs.empty()) {
-        m_lostUnreachable.push_back(m_runs.begin()->second.request.key());
+        m_possiblyCrashed.push_back(m_runs.begin()->second.request.key());
         finish(now, m_runs.begin(), wire::ATTEMPT_LOST, "lease_lapsed");
     }
 }
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -206,7 +206,7 @@
     std::optional<TimePoint> m_holdFailedAt;
     TimePoint m_leasesExpireAt;
     // Attempts that were lost while the upstream was out of reach: it may have crashed under them.
-    std::vector<wire::AttemptKey> m_lostUnreachable;
+    std::vector<wire::AttemptKey> m_possiblyCrashed;
     bool m_departed = false;
     bool m_draining = false;
 };
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -726,6 +726,20 @@
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
 }
 
+// An upstream shuts down for planned work. Counted as a crash, two such ends would fail the job of a task that crashes nothing.
+Test(RunTable, noCrashIsReportedForAnUpstreamThatDeparted)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.announce(1, 2, true);
+    agent.table.onDeparture(agent.now, "i-1");
+    agent.advance(ms(1000));
+    agent.table.tick(agent.now);
+    agent.announce(2, 1, false);
+    cr_assert(agent.broadcasts.empty());
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -62,8 +62,8 @@
         , failedAttempts(metrics.gauge("fescuegw_entry_attempts_failed", "Attempts that failed"))
         , lostAttempts(metrics.gauge("fescuegw_entry_attempts_lost", "Attempts that ended without a result"))
         , crashes(metrics.gauge("fescuegw_entry_crashes_under_tasks", "Crashes of upstreams, once for each task that was there"))
-        , failedByCrashes(
-              metrics.gauge("fescuegw_entry_jobs_failed_by_crashes", "Jobs that failed since a task crashed upstreams"))
+        , endedByCrashes(metrics.gauge(
+              "fescuegw_entry_jobs_ended_by_crashes", "Submissions that ended since a task lost too many upstreams"))
         , completedMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "completed"))
         , otherMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "other"))
     {
@@ -87,7 +87,7 @@
     }
 
     prometheus::Counter &completed, &failed, &notRun, &mayHaveRun, &abandoned;
-    prometheus::Gauge &inFlight, &agents, &routing, &notStarted, &failedAttempts, &lostAttempts, &crashes, &failedByCrashes;
+    prometheus::Gauge &inFlight, &agents, &routing, &notStarted, &failedAttempts, &lostAttempts, &crashes, &endedByCrashes;
     prometheus::Histogram &completedMs, &otherMs;
 };
 
@@ -310,7 +310,7 @@
     set(m_counters->failedAttempts, m_jobs.counters().failedAttempts);
     set(m_counters->lostAttempts, m_jobs.counters().lostAttempts);
     set(m_counters->crashes, m_jobs.counters().crashesUnderTasks);
-    set(m_counters->failedByCrashes, m_jobs.counters().failedByCrashes);
+    set(m_counters->endedByCrashes, m_jobs.counters().endedByCrashes);
     if (drained(now))
         m_hub->stop();
 }
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -141,49 +141,57 @@
         stopAttempts(now, job);
         return;
     }
-    enqueue(now, job, step, index);
+    queueAgain(now, job, step, index);
 }
 
 // A task that crashes its upstreams would take down one after another: neither its end nor its caller's patience bounds it. The
-// count is kept beyond the job, since its caller submits it again after an unclear end.
+// count is kept beyond the job, since its caller submits it again after an unclear end. Whether the task was at work when the
+// upstream crashed is not certain, so the job is not called failed.
 void JobTable::onCrash(TimePoint now, const AgentId& agent, const wire::AttemptReport& report)
 {
-    const StepTask task = wire::toStepTask(report.key());
-    const uint32_t before = m_crashes.count(now, task);
-    const uint32_t crashes = m_crashes.add(now, task, { agent.name, report.process_ms() });
-    if (crashes == before)
+    const StepTask key = wire::toStepTask(report.key());
+    if (!m_crashes.addCrash(now, key, { agent.name, report.process_ms() }))
         return;
     ++m_counters.crashesUnderTasks;
-    const auto it = m_jobs.find(task.job);
-    if (it == m_jobs.end())
+    const auto it = m_jobs.find(key.job);
+    if (it == m_jobs.end() || key.step >= it->second.steps.size() || key.index >= it->second.steps[key.step].tasks.size())
         return;
     Event(Level::Warn, "upstream_crashed")
-        .with("request", task.job)
-        .with("task", std::to_string(task.step) + "/" + std::to_string(task.index))
+        .with("request", key.job)
+        .with("task", std::to_string(key.step) + "/" + std::to_string(key.index))
         .with("agent", toString(agent))
         .with("process", report.process_ms())
-        .with("crashes", crashes);
-    if (!it->second.answered && failCrashing(now, it->second))
-        stopAttempts(now, it->second);
+        .with("crashes", m_crashes.crashes(now, key));
+    Job& job = it->second;
+    // An attempt on its way may be the one that succeeds.
+    if (!job.answered && job.steps[key.step].tasks[key.index].queued) {
+        const std::string reason = crashReason(now, job, key.step, key.index);
+        m_counters.endedByCrashes += reason.empty() ? 0 : 1;
+        if (!reason.empty())
+            endUnfinished(now, job, reason);
+    }
 }
 
-// Answers a job of which a task has crashed too many upstreams. Returns whether there is one.
-bool JobTable::failCrashing(TimePoint now, Job& job)
+// Returns why a task is not started again, or an empty string if it may be.
+std::string JobTable::crashReason(TimePoint now, const Job& job, size_t step, size_t index) const
 {
     if (m_crashes.size() == 0)
-        return false;
-    for (size_t step = 0; step < job.steps.size(); ++step) {
-        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            const uint32_t crashes
-                = m_crashes.count(now, { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) });
-            if (crashes < m_options.maxCrashes)
-                continue;
-            ++m_counters.failedByCrashes;
-            answer(now, job, { JobOutcome::Kind::Failed, std::to_string(crashes) + "_upstreams_crashed", 0 });
-            return true;
-        }
+        return "";
+    const StepTask key { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
+    if (m_crashes.crashes(now, key) >= m_options.maxCrashes)
+        return "crashed_upstreams";
+    return m_crashes.losses(now, key) >= m_options.maxLostAttempts ? "lost_too_often" : "";
+}
+
+void JobTable::queueAgain(TimePoint now, Job& job, size_t step, size_t index)
+{
+    const std::string reason = crashReason(now, job, step, index);
+    if (reason.empty()) {
+        enqueue(now, job, step, index);
+        return;
     }
-    return false;
+    ++m_counters.endedByCrashes;
+    endUnfinished(now, job, reason);
 }
 
 void JobTable::onNotStarted(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
@@ -201,22 +209,22 @@
     }
     if (reason != "no_room")
         task.avoidedAgents.insert(task.agent);
-    enqueue(now, job, step, index);
+    queueAgain(now, job, step, index);
 }
 
 void JobTable::onLost(TimePoint now, Job& job, size_t step, size_t index, const std::string& reason)
 {
     ++m_counters.lostAttempts;
-    Task& task = job.steps[step].tasks[index];
-    ++task.lost;
+    const Task& task = job.steps[step].tasks[index];
+    // A stop that was asked for here explains the loss.
+    if (!task.stopping)
+        m_crashes.addLoss(now, { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) });
     if (job.answered)
         return;
     if (job.refusing)
         endUnfinished(now, job, reason);
-    else if (task.lost >= m_options.maxLostAttempts)
-        endUnfinished(now, job, "lost_too_often: " + reason);
     else
-        enqueue(now, job, step, index);
+        queueAgain(now, job, step, index);
 }
 
 // Starts that never left this host are known not to have run. Later messages repeat acknowledgements and stops.
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -42,8 +42,16 @@
     }
     job.request = std::move(request);
     job.number = ++m_lastNumber;
-    if (failCrashing(now, job))
-        return;
+    for (size_t step = 0; step < job.steps.size(); ++step) {
+        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index) {
+            const std::string crashed = crashReason(now, job, step, index);
+            if (crashed.empty())
+                continue;
+            ++m_counters.endedByCrashes;
+            answer(now, job, { JobOutcome::Kind::MayHaveRun, crashed, 0 });
+            return;
+        }
+    }
     // A caller may submit a job again before the attempts of its previous submission are known to have ended.
     const std::string reason = busy ? "earlier_attempts_ending" : refusalReason(now, job);
     if (!reason.empty()) {
@@ -248,6 +256,7 @@
     }
     removeFinishedJobs();
     m_offers.expire(now);
+    m_crashes.expire(now);
     if (!m_queue.empty())
         dispatchPending(now);
 }
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -51,9 +51,9 @@
     // Limit on the attempts at one task, whatever their outcome: bounds the messages about a task that every upstream gives
     // back.
     uint32_t maxAttempts = 40;
-    // Crashes of upstreams under a task, over all submissions of its job, after which the job fails.
-    uint32_t maxCrashes = 2;
-    // Limit on the attempts at one task that ended without a result. Each may have been a crash that nobody reports.
+    // Limits for one task over all submissions of its job: crashes of upstreams under it, and attempts that ended without a
+    // result, each of which may have been a crash that nobody reports.
+    uint32_t maxCrashes = 3;
     uint32_t maxLostAttempts = 5;
     CrashHistoryOptions crashes;
     // Limit on the jobs in the table: bounds memory while no job makes progress.
@@ -80,8 +80,8 @@
     uint64_t movedAttempts = 0;
     // Crashes of upstreams, counted once for each task that was there.
     uint64_t crashesUnderTasks = 0;
-    // Jobs that failed since upstreams crashed under one of their tasks.
-    uint64_t failedByCrashes = 0;
+    // Submissions that ended because too many upstreams crashed or were lost under one of their tasks.
+    uint64_t endedByCrashes = 0;
     uint64_t declinedGrants = 0;
     // Messages that repeated stops, since the end of the attempts was not known yet.
     uint64_t repeatedStops = 0;
@@ -133,7 +133,6 @@
         uint32_t attempt = 0;
         uint32_t attempts = 0;
         uint32_t failures = 0;
-        uint32_t lost = 0;
         AgentId agent;
         bool queued = false;
         bool started = false;
@@ -196,7 +195,8 @@
     void moveSlowAttempts(TimePoint now, Job&);
     void applyReport(TimePoint now, const AgentId&, const wire::AttemptReport&);
     void onCrash(TimePoint now, const AgentId&, const wire::AttemptReport&);
-    bool failCrashing(TimePoint now, Job&);
+    std::string crashReason(TimePoint now, const Job&, size_t step, size_t index) const;
+    void queueAgain(TimePoint now, Job&, size_t step, size_t index);
     void onNotStarted(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
     void onFailed(TimePoint now, Job&, size_t step, size_t index);
     void onLost(TimePoint now, Job&, size_t step, size_t index, const std::string& reason);
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -257,9 +257,11 @@
     entry.report(a1, entry.starts[0].second, wire::ATTEMPT_CRASHED, "", 0, 1);
     cr_assert(!entry.answered("j"), "a repeated report is not another crash");
     entry.crash(a2, entry.starts[1].second, 1);
-    cr_assert(entry.kind("j") == JobOutcome::Kind::Failed);
+    cr_assert_eq(entry.starts.size(), 3);
+    entry.crash(entry.starts[2].first, entry.starts[2].second, 2);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::MayHaveRun);
     entry.advance(100);
-    cr_assert_eq(entry.starts.size(), 2);
+    cr_assert_eq(entry.starts.size(), 3);
     cr_assert_eq(entry.table.size(), 0);
 }
 
@@ -278,7 +280,12 @@
     entry.submit("j", 1);
     cr_assert_eq(entry.starts.size(), 3);
     entry.crash(a1, entry.starts[2].second, 2);
-    cr_assert(entry.kind("j") == JobOutcome::Kind::Failed);
+    cr_assert_eq(entry.starts.size(), 4);
+    entry.crash(entry.starts[3].first, entry.starts[3].second, 3);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::MayHaveRun);
+    entry.advance(1300);
+    entry.submit("j", 1);
+    cr_assert_eq(entry.starts.size(), 4, "not started again at the next submission");
 
     Entry other;
     other.offer(a1, 64000);
@@ -287,16 +294,17 @@
     elsewhere.mutable_key()->set_attempt(1);
     other.report(a1, elsewhere, wire::ATTEMPT_CRASHED, "", 0, 1);
     other.report(a2, elsewhere, wire::ATTEMPT_CRASHED, "", 0, 1);
+    other.report(a2, elsewhere, wire::ATTEMPT_CRASHED, "", 0, 2);
     other.submit("j", 1);
     cr_assert(other.starts.empty());
-    cr_assert(other.kind("j") == JobOutcome::Kind::Failed);
+    cr_assert(other.kind("j") == JobOutcome::Kind::MayHaveRun);
     other.offer(a1, 64000);
     other.submit("k", 1);
     cr_assert_eq(other.starts.size(), 1, "other jobs are not affected");
 }
 
-// Upstreams are lost under a task again and again without a report of a crash. Each loss may be one, and after three crashes a task
-// may be started twice more.
+// Upstreams are lost under a task again and again without a report of a crash. Each loss may be one, and after three crashes a
+// task may be started twice more.
 Test(JobTable, aTaskWhoseAttemptsAreAllLostIsStartedFiveTimesAtMost)
 {
     Entry entry;
@@ -651,6 +659,52 @@
     cr_assert_leq(75 * 1000.0 / intervalFor(75), offersPerSecond);
 }
 
+// Upstreams that crash under a task report it when they are back, some seconds later. The losses bound the starts until then,
+// but the caller is answered and submits the job again.
+Test(JobTable, lossesCountAcrossTheSubmissionsOfAJob)
+{
+    Entry entry;
+    for (uint64_t n = 0; n < 10; ++n) {
+        const AgentId agent { "b" + std::to_string(n), 7 };
+        entry.offer(agent, 64000);
+        if (n == 0)
+            entry.submit("j", 1);
+        if (n == 5) {
+            cr_assert(entry.kind("j") == JobOutcome::Kind::MayHaveRun);
+            entry.advance(1300);
+            entry.offer(agent, 64000);
+            entry.submit("j", 1);
+        }
+        if (entry.starts.size() > n)
+            entry.report(agent, entry.starts[n].second, wire::ATTEMPT_LOST, "lease_lapsed");
+    }
+    cr_assert_leq(entry.starts.size(), 5, "started %zu times", entry.starts.size());
+}
+
+// Two upstreams are lost under a task, and it is done on a third one. When the two are back, their crashes are reported, while
+// another task of the job still runs.
+Test(JobTable, lateReportsOfCrashesDoNotFailAJobWhoseTaskIsDone)
+{
+    Entry entry;
+    const AgentId a3 { "a3", 7 };
+    entry.offer(a1, 6000);
+    entry.submit("j", 2);
+    entry.offer(a2, 6000);
+    const wire::StartTask first = entry.starts[0].second;
+    const wire::StartTask other = entry.starts[1].second;
+    entry.report(a2, other, wire::ATTEMPT_STARTED);
+    entry.report(a1, first, wire::ATTEMPT_LOST, "lease_lapsed");
+    entry.offer(a3, 6000);
+    cr_assert_eq(entry.starts.size(), 3);
+    entry.report(a3, entry.starts[2].second, wire::ATTEMPT_DONE);
+    entry.report(a1, first, wire::ATTEMPT_CRASHED, "", 0, 1);
+    entry.report({ "a4", 7 }, first, wire::ATTEMPT_CRASHED, "", 0, 1);
+    entry.report({ "a5", 7 }, first, wire::ATTEMPT_CRASHED, "", 0, 1);
+    cr_assert_not(entry.answered("j"), "%s", entry.outcomes["j"].reason.c_str());
+    entry.report(a2, other, wire::ATTEMPT_DONE);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
+}
+
 // An agent repeats a report until it has the acknowledgement. By then the job may have been submitted again, and its first
 // attempt has the number of the one that was reported: called not started, it is started a second time.
 Test(JobTable, aRepeatedReportDoesNotEndAnAttemptOfTheNextSubmission)
