The soak crashes upstreams, resets and refuses their connections, and shrinks their capacity

Drawn faults reset a stand-in's connections after a start was carried out and refuse new ones for 50 to 500 ms, and shrink its capacity for 4 to 7 s. The relay can refuse, since a stand-in behind it can't. New check: a task that has crashed three upstreams isn't started three times more; a shrunk capacity counts 3.5 s later.

--- a/fescuegw/relay/Relay.cpp
+++ b/fescuegw/relay/Relay.cpp
@@ -60,19 +60,51 @@
         close(m_listener);
 }
 
-Result<void> Relay::start()
+Result<void> Relay::openListener()
 {
-    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = toSocketAddress(m_listen);
-    if (bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(m_listener, backlog) != 0)
+    if (bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(listener, backlog) != 0) {
+        close(listener);
         return tl::unexpected(Error { Verdict::NotRun, 500, m_listen.text() + ": can't listen" });
-    fcntl(m_listener, F_SETFL, O_NONBLOCK);
-    m_thread = std::thread([this] { serve(); });
+    }
+    fcntl(listener, F_SETFL, O_NONBLOCK);
+    m_listener = listener;
     return {};
 }
 
+Result<void> Relay::start()
+{
+    auto opened = openListener();
+    if (opened)
+        m_thread = std::thread([this] { serve(); });
+    return opened;
+}
+
+// The listener refuses before this returns, so that no peer of a connection that is reset finds it open; its end wakes the
+// thread.
+void Relay::setRefusing(bool refusing)
+{
+    if (m_refusing.exchange(refusing) || !refusing)
+        return;
+    shutdown(m_listener, SHUT_RDWR);
+    m_listenerShut = true;
+}
+
+void Relay::resetAll()
+{
+    // Without lingering, closing resets.
+    const linger none { 1, 0 };
+    for (const auto& it : m_connections) {
+        setsockopt(it.clientSocket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+        close(it.clientSocket);
+        close(it.targetSocket);
+    }
+    m_connections.clear();
+}
+
 void Relay::acceptConnection()
 {
     const int clientSocket = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -131,7 +163,7 @@
         const TimePoint before = monotonicNow();
         TimePoint next = before + maxPollInterval;
         const Cut cut = m_cut;
-        std::vector<pollfd> items { { cut == Cut::None ? m_listener : -1, POLLIN, 0 } };
+        std::vector<pollfd> items { { cut == Cut::None ? m_listener.load() : -1, POLLIN, 0 } };
         for (const auto& it : m_connections) {
             if (it.silent)
                 continue;
@@ -149,6 +181,15 @@
             continue;
         }
         ppoll(items.data(), items.size(), &timeout, nullptr);
+        if (m_listenerShut.exchange(false)) {
+            close(m_listener.exchange(-1));
+            resetAll();
+        }
+        if (m_listener < 0) {
+            if (!m_refusing)
+                (void)openListener();
+            continue;
+        }
         const TimePoint now = monotonicNow();
         const bool silence = m_silenceRequested.exchange(false);
         for (auto& it : m_connections) {
--- a/fescuegw/relay/Relay.h
+++ b/fescuegw/relay/Relay.h
@@ -42,6 +42,10 @@
     // Closes all connections, as a restart of a network switch does.
     void reset() { m_resetRequested = true; }
 
+    // With true, refuses new connections and then resets all open ones, as a host on which nothing listens, until called with
+    // false.
+    void setRefusing(bool);
+
 private:
     struct Chunk {
         TimePoint due;
@@ -61,7 +65,9 @@
         bool silent = false;
     };
 
+    Result<void> openListener();
     void serve();
+    void resetAll();
     void acceptConnection();
     void readFrom(TimePoint now, int descriptor, Direction&) const;
     static void writeTo(TimePoint now, int descriptor, Direction&, bool& closed);
@@ -73,7 +79,9 @@
     std::atomic<bool> m_silenceRequested { false };
     std::atomic<bool> m_resetRequested { false };
     std::atomic<bool> m_stopping { false };
-    int m_listener = -1;
+    std::atomic<bool> m_refusing { false };
+    std::atomic<bool> m_listenerShut { false };
+    std::atomic<int> m_listener { -1 };
     std::list<Connection> m_connections;
     std::thread m_thread;
 };
--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -18,6 +18,12 @@
     constexpr std::array runBoundUpstreamFaults { FaultKind::RefuseRepeats, FaultKind::LeaveUndone, FaultKind::LateOrders };
     constexpr std::array runBoundEntryFaults { FaultKind::Reset, FaultKind::CutBoth, FaultKind::Kill, FaultKind::Pause };
 
+    // Connections are refused for less than any lease; capacities are small for longer than a shrunk capacity may be overlooked.
+    constexpr uint32_t minRefusalMs = 50;
+    constexpr uint32_t maxRefusalMs = 500;
+    constexpr uint32_t minShrinkMs = 4000;
+    constexpr uint32_t maxShrinkMs = 7000;
+
     // Range of fault lengths, chosen to include values below and above every lease of the system.
     constexpr uint32_t minLengthMs = 50;
     constexpr uint32_t maxLengthMs = 3500;
@@ -64,6 +70,17 @@
             return fault;
         }
 
+        Fault nextCrashesFault()
+        {
+            Fault fault;
+            fault.target = Target::Upstream;
+            fault.kind = below(2) == 0 ? FaultKind::ResetAndRefuse : FaultKind::Shrink;
+            fault.index = below(count(fault.target));
+            fault.length
+                = fault.kind == FaultKind::Shrink ? between(minShrinkMs, maxShrinkMs) : between(minRefusalMs, maxRefusalMs);
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -115,9 +132,9 @@
 
 std::string_view toString(FaultKind kind)
 {
-    constexpr std::array<std::string_view, 20> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
+    constexpr std::array<std::string_view, 22> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
         "delay", "reset", "silence", "slow", "hang", "fail", "late_orders", "restart", "leave", "wipe_disk", "tear_log",
-        "refuse_repeats", "leave_undone" };
+        "refuse_repeats", "leave_undone", "reset_and_refuse", "shrink" };
     return names.at(static_cast<size_t>(kind));
 }
 
@@ -140,7 +157,9 @@
     std::vector<Fault> plan;
     const auto lastMs = static_cast<uint32_t>(toMs(options.length) - maxLengthMs);
     for (uint32_t n = 0; n < options.series; ++n) {
-        Fault fault = options.runBounds ? generator.nextRunBoundFault() : generator.nextFault();
+        Fault fault = options.crashes ? generator.nextCrashesFault()
+            : options.runBounds       ? generator.nextRunBoundFault()
+                                      : generator.nextFault();
         fault.at = options.calm + generator.between(0, lastMs - static_cast<uint32_t>(toMs(options.calm)));
         const bool allTargets = generator.below(100) < allTargetsPercent && fault.kind != FaultKind::WipeDisk;
         const uint32_t repeats = fault.kind == FaultKind::WipeDisk ? 1 : 1 + generator.below(maxRepeats);
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -48,6 +48,11 @@
     // part of all requests are left undone, without an answer.
     RefuseRepeats,
     LeaveUndone,
+    // Upstream faults of a crashes plan: within a second, a start is carried out, but its answer is lost with all connections,
+    // and
+    // new ones are refused for `length`; the capacity is smaller for `length`.
+    ResetAndRefuse,
+    Shrink,
 };
 
 std::string_view toString(FaultKind);
@@ -84,6 +89,8 @@
     // Draws only faults that decide whether a run outlasts its attempt: lost answers, refused repeats, orders that are undone or
     // late, and entries whose links are reset or which are killed or paused.
     bool runBounds = false;
+    // Draws only faults of upstreams that live on, to go with tasks that crash their upstreams.
+    bool crashes = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -6,6 +6,32 @@
 
 namespace fescuegw::soak {
 
+namespace {
+
+    // FNV-1a over the text of the plans of seeds 1 to 100.
+    uint64_t digestOfPlans(const PlanOptions& options)
+    {
+        constexpr uint64_t basis = 14695981039346656037U;
+        constexpr uint64_t prime = 1099511628211U;
+        uint64_t digest = basis;
+        for (uint32_t seed = 1; seed <= 100; ++seed)
+            for (const auto& it : drawPlan(seed, {}, options))
+                for (const char c : toString(it))
+                    digest = (digest ^ static_cast<unsigned char>(c)) * prime;
+        return digest;
+    }
+
+} // namespace
+
+Test(faultPlan, seedsThatFailedOnceKeepTheirPlans)
+{
+    PlanOptions options;
+    cr_assert_eq(digestOfPlans(options), 13106299938810014584U);
+    options.runBounds = true;
+    options.series = 8;
+    cr_assert_eq(digestOfPlans(options), 9806429866781286070U);
+}
+
 Test(faultPlan, theSameSeedGivesTheSamePlan)
 {
     const FleetSize size;
@@ -46,6 +72,29 @@
         cr_assert_gt(kinds.at(static_cast<size_t>(it)), 0U);
 }
 
+Test(faultPlan, aCrashesPlanRefusesBrieflyAndShrinksForLongerThanMayBeOverlooked)
+{
+    PlanOptions options;
+    options.crashes = true;
+    size_t refusals = 0;
+    size_t shrinks = 0;
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        for (const auto& it : drawPlan(seed, {}, options)) {
+            cr_assert(it.target == Target::Upstream);
+            cr_assert(it.at >= options.calm && it.at + it.length <= options.length);
+            if (it.kind == FaultKind::ResetAndRefuse) {
+                ++refusals;
+                cr_assert(it.length >= std::chrono::milliseconds(50) && it.length <= std::chrono::milliseconds(500));
+            } else {
+                ++shrinks;
+                cr_assert(it.kind == FaultKind::Shrink && it.length > std::chrono::milliseconds(3500));
+            }
+        }
+    }
+    cr_assert_gt(refusals, 100U);
+    cr_assert_gt(shrinks, 100U);
+}
+
 Test(faultPlan, losesADiskOnlyAwayFromOtherReplicaFaults)
 {
     const PlanOptions options;
--- a/fescuegw/soak/Ledger.cpp
+++ b/fescuegw/soak/Ledger.cpp
@@ -36,16 +36,47 @@
     ++answered.callEnds[end];
     if (end == CallEnd::Completed && answered.done.size() < answered.tasks)
         addViolation("whole answers", job + ": completed with " + std::to_string(answered.done.size()) + " tasks done");
-    const bool hasFailedTask = std::any_of(
-        answered.failures.begin(), answered.failures.end(), [&](const auto& it) { return it.second >= m_options.maxAttempts; });
+    const auto reaches = [](const std::map<uint32_t, uint32_t>& counts, uint32_t bound) {
+        return std::any_of(counts.begin(), counts.end(), [&](const auto& it) { return it.second >= bound; });
+    };
+    const bool hasFailedTask
+        = reaches(answered.failures, m_options.maxAttempts) || reaches(answered.crashes, m_options.maxCrashes);
     if (end == CallEnd::Failed && !hasFailedTask)
-        addViolation("failures have a cause", job + ": no task has failed " + std::to_string(m_options.maxAttempts) + " times");
+        addViolation("failures have a cause",
+            job + ": no task has failed " + std::to_string(m_options.maxAttempts) + " times or crashed "
+                + std::to_string(m_options.maxCrashes) + " upstreams");
 }
 
 void Ledger::onUpstreamStarted(const std::string& upstream, const Resources& capacity)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_upstreams[upstream] = Upstream { capacity, {}, false, {} };
+    // A capacity that shrank in the life before still counts in full until its limit has passed.
+    Upstream& started = m_upstreams[upstream];
+    started.capacity = capacity;
+    started.runs.clear();
+    started.leaving = false;
+}
+
+void Ledger::onUpstreamCrashed(const std::string& upstream, const StepTask& task)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_crashes;
+    ++m_jobs[task.job].crashes[task.index];
+    m_upstreams[upstream].runs.clear();
+}
+
+Resources Ledger::Upstream::countedCapacity(TimePoint now, Duration shrinkLimit) const
+{
+    return now - changedAt <= shrinkLimit ? componentMax(formerCapacity, capacity) : capacity;
+}
+
+void Ledger::onCapacityChanged(TimePoint now, const std::string& upstream, const Resources& capacity)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Upstream& changed = m_upstreams[upstream];
+    changed.formerCapacity = changed.countedCapacity(now, m_options.shrinkLimit);
+    changed.changedAt = now;
+    changed.capacity = capacity;
 }
 
 void Ledger::onLeavingAcknowledged(TimePoint now, const std::string& upstream)
@@ -75,12 +106,18 @@
             if (it.task == task)
                 addViolation(
                     "no two runs at a time", description + " beside run " + std::to_string(it.number) + " on " + other.first);
+    const auto crashes = job->second.crashes.find(task.index);
+    if (crashes != job->second.crashes.end() && crashes->second >= m_options.tooManyCrashes
+        && ++job->second.startsAfterCrashes[task.index] == m_options.tooManyStarts)
+        addViolation("what crashes upstreams is given up", description);
     Upstream& target = m_upstreams[upstream];
     target.runs.push_back({ task, run, need });
-    target.free -= need;
-    if (target.free.coresMilli < 0 || target.free.memoryMb < 0)
+    Resources free = target.countedCapacity(now, m_options.shrinkLimit);
+    for (const auto& it : target.runs)
+        free -= it.need;
+    if (free.coresMilli < 0 || free.memoryMb < 0)
         addViolation("no start over the capacity",
-            description + ": " + std::to_string(-target.free.coresMilli) + " thousandths of a core too many");
+            description + ": " + std::to_string(-free.coresMilli) + " thousandths of a core too many");
     if (target.leaving && prompt && now - target.leaveAcknowledgedAt > m_options.drainLimit)
         addViolation("no start on an upstream that leaves", description);
 }
@@ -93,7 +130,6 @@
         [&](const Run& candidate) { return candidate.task == task && candidate.number == run; });
     if (it == target.runs.end())
         return;
-    target.free += it->need;
     target.runs.erase(it);
     Job& job = m_jobs[task.job];
     if (outcome == RunOutcome::Done)
@@ -138,6 +174,12 @@
     return m_starts;
 }
 
+size_t Ledger::crashes() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_crashes;
+}
+
 bool Ledger::hasStarted(const std::string& job) const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/fescuegw/soak/Ledger.h
+++ b/fescuegw/soak/Ledger.h
@@ -39,6 +39,13 @@
 struct LedgerOptions {
     // Number of failed runs of a task from which its job may be reported as failed.
     uint32_t maxAttempts = 2;
+    // Number of upstreams that a task has crashed from which its job may be reported as failed.
+    uint32_t maxCrashes = 2;
+    // Number of upstreams that a task has crashed from which it must not be started `tooManyStarts` times more.
+    uint32_t tooManyCrashes = 3;
+    uint32_t tooManyStarts = 3;
+    // Time after which a capacity that has shrunk counts: the platform's contact window, and one announcement interval.
+    Duration shrinkLimit { std::chrono::milliseconds(3000 + 500) };
     // Time after the acknowledgement of an upstream's leave request from which no run may start there.
     Duration drainLimit { std::chrono::milliseconds(2000) };
 };
@@ -56,6 +63,9 @@
 
     // Called at the start of each incarnation of an upstream, when no task is running there.
     void onUpstreamStarted(const std::string& upstream, const Resources& capacity);
+    // `task` has crashed the upstream; whatever was running there is gone.
+    void onUpstreamCrashed(const std::string& upstream, const StepTask& task);
+    void onCapacityChanged(TimePoint now, const std::string& upstream, const Resources& capacity);
     void onLeavingAcknowledged(TimePoint now, const std::string& upstream);
     // `prompt` says whether the start request was delivered without delay.
     void onRunStarted(TimePoint now, const std::string& upstream, const StepTask&, uint64_t run, const Resources& need,
@@ -71,6 +81,7 @@
     std::vector<Violation> violations() const;
     std::map<CallEnd, size_t> answers() const;
     size_t starts() const;
+    size_t crashes() const;
     bool hasStarted(const std::string& job) const;
 
 private:
@@ -81,6 +92,8 @@
         size_t starts = 0;
         std::set<uint32_t> done;
         std::map<uint32_t, uint32_t> failures;
+        std::map<uint32_t, uint32_t> crashes;
+        std::map<uint32_t, uint32_t> startsAfterCrashes;
     };
 
     struct Run {
@@ -90,7 +103,13 @@
     };
 
     struct Upstream {
-        Resources free;
+        // Returns what starts at `now` may fill.
+        Resources countedCapacity(TimePoint now, Duration shrinkLimit) const;
+
+        Resources capacity;
+        // The largest capacity of the `shrinkLimit` before `changedAt`.
+        Resources formerCapacity;
+        TimePoint changedAt;
         std::vector<Run> runs;
         bool leaving = false;
         TimePoint leaveAcknowledgedAt;
@@ -103,6 +122,7 @@
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Upstream> m_upstreams;
     size_t m_starts = 0;
+    size_t m_crashes = 0;
     std::vector<Violation> m_violations;
 };
 
--- a/fescuegw/soak/LedgerTest.cpp
+++ b/fescuegw/soak/LedgerTest.cpp
@@ -79,6 +79,91 @@
     cr_assert(it.ledger.violations().empty());
 }
 
+Test(ledger, rejectedAlthoughItRanBesideWhatCrashedTheUpstream)
+{
+    Fixture it;
+    it.run("up1", "b", 0);
+    it.run("up2", "a", 1);
+    it.ledger.onUpstreamCrashed("up2", { "b", 0, 0 });
+    it.ledger.onUpstreamStarted("up2", capacity);
+    it.ledger.onAnswered("a", CallEnd::Rejected);
+    it.ledger.checkAtEnd();
+    cr_assert_eq(it.ledger.violations().size(), 2U, "b still runs on up1");
+    cr_assert(it.ledger.violations().front().promise == "\"not run\" is true");
+}
+
+Test(ledger, aCrashEndsRunsOnItsUpstreamOnly)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.run("up2", "a", 1);
+    it.ledger.onUpstreamCrashed("up1", { "a", 0, 0 });
+    it.run("up2", "b", 0);
+    it.run("up1", "a", 0);
+    cr_assert(onlyPromise(it.ledger) == "no start over the capacity", "that of b on up2");
+    it.run("up1", "a", 1);
+    cr_assert_eq(it.ledger.violations().size(), 3U, "two runs, and over the capacity");
+}
+
+Test(ledger, whatCrashesUpstreamsIsStartedThreeTimesMore)
+{
+    Fixture it;
+    const auto crash = [&] {
+        it.run("up1", "a", 0);
+        it.ledger.onUpstreamCrashed("up1", { "a", 0, 0 });
+        it.ledger.onUpstreamStarted("up1", capacity);
+    };
+    for (int n = 0; n < 5; ++n) {
+        crash();
+        it.ledger.onSubmitted("a", 2, "text");
+    }
+    cr_assert(it.ledger.violations().empty());
+    crash();
+    cr_assert(onlyPromise(it.ledger) == "what crashes upstreams is given up");
+    crash();
+    cr_assert_eq(it.ledger.violations().size(), 1U, "once for each task");
+    cr_assert_eq(it.ledger.crashes(), 7U);
+}
+
+Test(ledger, failedAfterOneCrashOnly)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.ledger.onUpstreamCrashed("up1", { "a", 0, 0 });
+    it.run("up2", "a", 0);
+    it.ledger.onUpstreamCrashed("up2", { "a", 0, 0 });
+    it.ledger.onAnswered("a", CallEnd::Failed);
+    cr_assert(it.ledger.violations().empty());
+    it.run("up1", "b", 0);
+    it.ledger.onUpstreamCrashed("up1", { "b", 0, 0 });
+    it.ledger.onAnswered("b", CallEnd::Failed);
+    cr_assert(onlyPromise(it.ledger) == "failures have a cause");
+}
+
+Test(ledger, aShrunkCapacityCountsAfterItsLimit)
+{
+    Fixture it;
+    const Resources small { 4000, 1024, 0 };
+    it.ledger.onCapacityChanged(start, "up1", small);
+    it.run("up1", "a", 0, start + std::chrono::milliseconds(3500));
+    it.end("up1", "a", 0, RunOutcome::Done);
+    // Neither another change nor another life puts it off.
+    it.ledger.onCapacityChanged(start + std::chrono::milliseconds(3501), "up1", { 3000, 1024, 0 });
+    it.ledger.onUpstreamStarted("up1", { 3000, 1024, 0 });
+    cr_assert(it.ledger.violations().empty());
+    it.run("up1", "a", 1, start + std::chrono::milliseconds(3502));
+    cr_assert(onlyPromise(it.ledger) == "no start over the capacity");
+}
+
+Test(ledger, aCapacityThatHasGrownCountsAtOnce)
+{
+    Fixture it;
+    it.ledger.onCapacityChanged(start, "up1", { 4000, 1024, 0 });
+    it.ledger.onCapacityChanged(start + std::chrono::seconds(5), "up1", capacity);
+    it.run("up1", "a", 0, start + std::chrono::seconds(5));
+    cr_assert(it.ledger.violations().empty());
+}
+
 Test(ledger, completedBeforeAllTasksAreDone)
 {
     Fixture it;
