Crashes, refused connections and shrinking capacities in the model of run bounds

The model had upstreams that lose answers, but none that crash on a task, restart with a new clock and no record, refuse connections while their runs go on, or change their capacity. The starts of a task after three upstreams have crashed under it were not counted.

--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -1,6 +1,7 @@
 // Who knows that a start or a stop took effect, and what bounds a run when that isn't known (docs/DESIGN.md). The production
 // classes of entries and agents run in virtual time against upstreams that lose answers, refuse repeats, leave orders undone or
-// carry them out late, over links that are reset, and with entries that are killed. Callers submit a job again 1,300 ms after an
+// carry them out late, over links that are reset, and with entries that are killed. Upstreams also crash on tasks and come back
+// as new processes, refuse connections after a reset, and announce other capacities. Callers submit a job again 1,300 ms after an
 // unclear end.
 #include <algorithm>
 #include <cstdio>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -40,6 +42,27 @@
 // An entry notices within this time that a caller has gone.
 constexpr Duration maxAbandonDelay = std::chrono::milliseconds(100);
 
+// Time after which an order is known to be unanswered when its connection is reset.
+constexpr Duration resetDelay = std::chrono::milliseconds(1);
+// Shortest time between two holds while they fail.
+constexpr Duration holdRetryInterval = std::chrono::milliseconds(30);
+constexpr Duration announcementInterval = std::chrono::milliseconds(1000);
+// A capacity counts for this long, and until the next announcement, after it has shrunk.
+constexpr Duration shrunkCapacityPeriod = std::chrono::milliseconds(3000);
+// A task under which `crashLimit` upstreams have crashed may be started fewer than `maxStartsAfterCrashes` times more.
+constexpr uint64_t crashLimit = 3;
+constexpr uint64_t maxStartsAfterCrashes = 3;
+
+// Faults of upstreams that are drawn beside the others.
+struct UpstreamFaults {
+    // Share of the jobs of which one task crashes each upstream that starts it, in percent.
+    uint64_t deadlyJobs = 0;
+    // Connections are reset and refused while the runs go on.
+    bool resets = false;
+    // Capacities shrink and grow again.
+    bool capacities = false;
+};
+
 // Shares of the requests of an upstream that meet a fault, in percent.
 struct Trouble {
     uint64_t lostAnswers = 0;
@@ -57,12 +80,46 @@
     uint64_t overlaps = 0;
     uint64_t overCapacity = 0;
     uint64_t falseNotRun = 0;
+    // Tasks that were started on and on although upstreams crashed under them.
+    uint64_t overCrashLimit = 0;
+    // Not faults of the classes under test: they show that the draws have reached what they are to reach.
+    uint64_t crashes = 0;
+    // Tasks under which an upstream has crashed, and those under which `crashLimit` have.
+    uint64_t crashedTasks = 0;
+    uint64_t oftenCrashedTasks = 0;
+    uint64_t resets = 0;
+    uint64_t shrunk = 0;
+    uint64_t completed = 0;
+    uint64_t failed = 0;
+    // Of the failed jobs, those that have no task that crashes upstreams.
+    uint64_t failedHarmless = 0;
+
+    Findings& operator+=(const Findings& other)
+    {
+        starts += other.starts;
+        resubmitted += other.resubmitted;
+        lapsed += other.lapsed;
+        overlaps += other.overlaps;
+        overCapacity += other.overCapacity;
+        falseNotRun += other.falseNotRun;
+        overCrashLimit += other.overCrashLimit;
+        crashes += other.crashes;
+        crashedTasks += other.crashedTasks;
+        oftenCrashedTasks += other.oftenCrashedTasks;
+        resets += other.resets;
+        shrunk += other.shrunk;
+        completed += other.completed;
+        failed += other.failed;
+        failedHarmless += other.failedHarmless;
+        return *this;
+    }
 };
 
 class FaultModel {
 public:
-    explicit FaultModel(uint64_t seed)
+    explicit FaultModel(uint64_t seed, UpstreamFaults faults = {})
         : m_random(seed)
+        , m_faults(faults)
     {
         for (size_t n = 0; n < entryCount; ++n) {
             m_entries.push_back(std::make_unique<Entry>());
@@ -78,6 +135,8 @@
         const TimePoint end = m_now + duration;
         after(ms(500), [this] { submitNext(); });
         after(ms(700), [this] { disturb(); });
+        if (m_faults.resets || m_faults.capacities)
+            after(ms(900), [this] { disturbUpstream(); });
         while (!m_events.empty() && m_events.top().at <= end) {
             const Event event = m_events.top();
             m_events.pop();
@@ -126,11 +185,27 @@
         std::map<StepTask, int64_t> needs;
         uint64_t lastEnd = 0;
         Trouble trouble;
+        // The process of the upstream, and whether it is there.
+        uint64_t bornMs = 1;
+        TimePoint bornAt;
+        bool down = false;
+        uint64_t sequence = 1;
+        int64_t capacity = coresMilli;
+        // Capacities before they shrank, and when.
+        std::vector<std::pair<int64_t, TimePoint>> earlierCapacities;
+        // The next order carried out has its connection reset.
+        bool resetDue = false;
+        TimePoint refusedUntil;
+        // Orders on their way, and what handles their answers.
+        std::map<uint64_t, std::function<void(bool)>> calls;
+        uint64_t lastCall = 0;
         // The hold that waits, or 0, and the last one.
         uint64_t hold = 0;
         uint64_t lastHold = 0;
         TimePoint holdSent;
         bool holdUnanswered = false;
+        // It has failed with its connection, and the next one is due.
+        bool holdFailed = false;
     };
 
     struct Job {
@@ -141,6 +216,10 @@
         size_t starts = 0;
         bool mayHaveRun = false;
         bool refused = false;
+        // The task that crashes upstreams, if there is one.
+        std::optional<uint32_t> deadlyTask;
+        uint64_t crashes = 0;
+        uint64_t startsAfterCrashes = 0;
     };
 
     void after(Duration delay, std::function<void()> action)
@@ -197,6 +276,7 @@
         Agent& agent = *m_agents.back();
         agent.id = { "agent" + std::to_string(n), 1 };
         agent.clockRate = n % 2 == 0 ? 1 : 0.98;
+        agent.bornAt = m_begin;
         agent.links = std::make_unique<EntryLinks>(agent.id.name);
         wire::View view;
         for (const auto& it : m_entries)
@@ -216,15 +296,33 @@
         hooks.report = [&agent](const std::string& entry, const wire::AttemptReport& it) { agent.links->report(entry, it); };
         hooks.grant = [&agent](const std::string& entry, const wire::Grant& it) { agent.links->grant(entry, it); };
         agent.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
+        announce(agent);
+        startHold(agent);
+        tickAgent(agent);
+        if (m_faults.capacities)
+            after(ms(static_cast<int64_t>(below(static_cast<uint64_t>(announcementInterval / ms(1))))),
+                [this, &agent] { announceAgain(agent); });
+    }
+
+    void announce(Agent& agent)
+    {
         Announcement it;
         it.instance = agent.id.name;
-        it.bornMs = 1;
-        it.sequence = 1;
+        it.bornMs = agent.bornMs;
+        it.sequence = agent.sequence;
         it.service = "s";
-        it.capacity = { coresMilli, 262144, 0 };
+        it.capacity = { agent.capacity, 262144, 0 };
         agent.table->onAnnouncement(m_now, it);
-        startHold(agent);
-        tickAgent(agent);
+    }
+
+    void announceAgain(Agent& agent)
+    {
+        if (!agent.down) {
+            ++agent.sequence;
+            announce(agent);
+            processAgent(agent);
+        }
+        after(announcementInterval, [this, &agent] { announceAgain(agent); });
     }
 
     void tickAgent(Agent& agent)
@@ -308,20 +406,136 @@
         const bool undone = chance(undonePercent);
         const bool late = !undone && chance(trouble.late);
         const bool lost = undone || late || chance(trouble.lostAnswers);
+        const auto executeThere = [&agent, execute, process = agent.bornMs] {
+            if (agent.bornMs == process && !agent.down)
+                execute();
+        };
         if (late)
-            after(ms(static_cast<int64_t>(below(3000))), execute);
+            after(ms(static_cast<int64_t>(below(3000))), executeThere);
         else if (!undone)
-            after(upstreamDelay, execute);
-        after(lost ? orderTimeout : 2 * upstreamDelay, [this, &agent, lost, answer] {
-            --agent.busyThreads;
-            answer(!lost);
+            after(upstreamDelay, executeThere);
+        const uint64_t call = ++agent.lastCall;
+        agent.calls[call] = answer;
+        after(lost ? orderTimeout : 2 * upstreamDelay, [this, &agent, lost, call] {
+            const auto it = agent.calls.find(call);
+            if (it == agent.calls.end())
+                return;
+            const auto handler = std::move(it->second);
+            agent.calls.erase(it);
+            endOrder(agent, [&] { handler(!lost); });
+        });
+        if (agent.resetDue) {
+            agent.resetDue = false;
+            after(upstreamDelay, [this, &agent] { resetConnections(agent); });
+        }
+    }
+
+    void endOrder(Agent& agent, const std::function<void()>& handle)
+    {
+        --agent.busyThreads;
+        handle();
+        processAgent(agent);
+        serveOrders(agent);
+    }
+
+    bool refusesConnections(const Agent& agent) const { return agent.down || m_now < agent.refusedUntil; }
+
+    // The answers of all orders on their way are lost, and the hold fails.
+    void breakConnections(Agent& agent)
+    {
+        for (const auto& it : std::exchange(agent.calls, {}))
+            after(resetDelay, [this, &agent, handler = it.second] { endOrder(agent, [&] { handler(false); }); });
+        const bool answerOnItsWay = agent.hold == 0 && !agent.holdUnanswered;
+        if (answerOnItsWay || agent.holdFailed)
+            return;
+        failHold(agent);
+    }
+
+    void failHold(Agent& agent)
+    {
+        agent.hold = 0;
+        agent.holdFailed = true;
+        after(upstreamDelay, [this, &agent] {
+            agent.table->onHoldFailure(m_now, false);
             processAgent(agent);
-            serveOrders(agent);
+            after(std::max(agent.holdSent + holdRetryInterval - m_now, Duration()), [this, &agent] { startHold(agent); });
         });
     }
 
+    void resetConnections(Agent& agent)
+    {
+        if (agent.down)
+            return;
+        ++m_findings.resets;
+        agent.refusedUntil = m_now + ms(static_cast<int64_t>(50 + below(450)));
+        breakConnections(agent);
+    }
+
+    void crash(Agent& agent)
+    {
+        ++m_findings.crashes;
+        for (const auto& it : agent.runs) {
+            Job& job = m_jobs.at(it.task.job);
+            if (job.deadlyTask == it.task.index) {
+                ++job.crashes;
+                m_findings.crashedTasks += job.crashes == 1 ? 1 : 0;
+                m_findings.oftenCrashedTasks += job.crashes == crashLimit ? 1 : 0;
+            }
+        }
+        agent.down = true;
+        agent.runs.clear();
+        agent.ended.clear();
+        agent.closed.clear();
+        agent.lastEnd = 0;
+        agent.leaseUntilMs = 0;
+        breakConnections(agent);
+        after(ms(static_cast<int64_t>(300 + below(2700))), [this, &agent] { restart(agent); });
+    }
+
+    void restart(Agent& agent)
+    {
+        agent.down = false;
+        agent.refusedUntil = {};
+        agent.bornAt = m_now;
+        agent.bornMs = static_cast<uint64_t>((m_now - m_begin) / ms(1)) + 1;
+        agent.sequence = 0;
+        // The agent may learn of the new process from a listing first.
+        after(ms(static_cast<int64_t>(below(100))), [this, &agent, process = agent.bornMs] {
+            if (agent.bornMs != process || agent.down)
+                return;
+            ++agent.sequence;
+            announce(agent);
+            processAgent(agent);
+        });
+    }
+
+    void setCapacity(Agent& agent, int64_t capacity)
+    {
+        if (capacity < agent.capacity) {
+            ++m_findings.shrunk;
+            agent.earlierCapacities.emplace_back(agent.capacity, m_now);
+        }
+        agent.capacity = capacity;
+    }
+
+    int64_t countedCapacity(Agent& agent) const
+    {
+        std::erase_if(agent.earlierCapacities,
+            [&](const auto& it) { return it.second + shrunkCapacityPeriod + announcementInterval < m_now; });
+        int64_t most = agent.capacity;
+        for (const auto& it : agent.earlierCapacities)
+            most = std::max(most, it.first);
+        return most;
+    }
+
     void sendStart(Agent& agent, uint64_t serial, const StartOrder& order)
     {
+        if (refusesConnections(agent)) {
+            after(upstreamDelay, [this, &agent, serial] {
+                endOrder(agent, [&] { agent.table->onStartReply(m_now, serial, StartVerdict::Unhealthy, std::nullopt); });
+            });
+            return;
+        }
         const auto verdict = std::make_shared<StartVerdict>(StartVerdict::Unanswered);
         const bool refused = chance(agent.trouble.refusals);
         callUpstream(
@@ -337,6 +551,11 @@
 
     void sendStop(Agent& agent, const StopOrder& order)
     {
+        if (refusesConnections(agent)) {
+            after(upstreamDelay,
+                [this, &agent, order] { endOrder(agent, [&] { agent.table->onStopReply(m_now, order, false); }); });
+            return;
+        }
         callUpstream(
             agent, std::max(agent.trouble.undone, agent.trouble.undoneStops),
             [this, &agent, order] {
@@ -349,7 +568,7 @@
 
     uint64_t clockMs(const Agent& agent) const
     {
-        return static_cast<uint64_t>(static_cast<double>((m_now - m_begin) / std::chrono::milliseconds(1)) * agent.clockRate)
+        return static_cast<uint64_t>(static_cast<double>((m_now - agent.bornAt) / std::chrono::milliseconds(1)) * agent.clockRate)
             + 1000;
     }
 
@@ -391,11 +610,28 @@
         int64_t taken = 0;
         for (const auto& it : agent.runs)
             taken += it.need;
-        m_findings.overCapacity += taken > coresMilli ? 1 : 0;
-        after(job.work, [this, &agent, order] { endRun(agent, order.task, order.run, RunEnd::Done); });
+        m_findings.overCapacity += taken > countedCapacity(agent) ? 1 : 0;
+        after(job.work, [this, &agent, order, process = agent.bornMs] {
+            if (agent.bornMs == process)
+                endRun(agent, order.task, order.run, RunEnd::Done);
+        });
+        if (job.deadlyTask == order.task.index)
+            beginCrash(agent, job);
         return StartVerdict::Accepted;
     }
 
+    void beginCrash(Agent& agent, Job& job)
+    {
+        if (job.crashes >= crashLimit && ++job.startsAfterCrashes == maxStartsAfterCrashes)
+            ++m_findings.overCrashLimit;
+        // Most upstreams crash before they answer.
+        const Duration delay = chance(70) ? Duration() : ms(static_cast<int64_t>(below(50)));
+        after(delay, [this, &agent, process = agent.bornMs] {
+            if (agent.bornMs == process && !agent.down)
+                crash(agent);
+        });
+    }
+
     void endRun(Agent& agent, const StepTask& task, uint64_t number, RunEnd how)
     {
         const auto it = std::find_if(
@@ -415,6 +651,12 @@
         const HoldOrder order = agent.table->nextHold(m_now);
         const uint64_t number = agent.hold = ++agent.lastHold;
         agent.holdSent = m_now;
+        agent.holdFailed = false;
+        if (refusesConnections(agent)) {
+            agent.holdUnanswered = true;
+            failHold(agent);
+            return;
+        }
         const bool undone = chance(agent.trouble.undone);
         agent.holdUnanswered = undone || chance(agent.trouble.lostAnswers);
         if (!undone) {
@@ -425,7 +667,7 @@
                 [this, &agent, number] { answerHold(agent, number); });
         }
         after(order.wait + holdMargin, [this, &agent, number] {
-            if (!agent.holdUnanswered || agent.lastHold != number)
+            if (!agent.holdUnanswered || agent.holdFailed || agent.lastHold != number)
                 return;
             agent.table->onHoldFailure(m_now, false);
             startHold(agent);
@@ -442,7 +684,7 @@
             return;
         expireLease(agent);
         Listing listing;
-        listing.bornMs = 1;
+        listing.bornMs = agent.bornMs;
         listing.clockMs = clockMs(agent);
         for (const auto& it : agent.runs)
             listing.running.push_back({ it.task, it.number, 50 });
@@ -471,6 +713,8 @@
         step.estimateMs = static_cast<uint32_t>(std::max<int64_t>(job.work / ms(1) / static_cast<int64_t>(1 + below(4)), 1));
         job.request.job.steps = { step };
         job.request.patience = ms(static_cast<int64_t>(step.estimateMs + below(2500)));
+        if (m_faults.deadlyJobs > 0 && chance(m_faults.deadlyJobs))
+            job.deadlyTask = static_cast<uint32_t>(below(step.count));
         submit(id, below(entryCount));
         after(ms(static_cast<int64_t>(below(60))), [this] { submitNext(); });
     }
@@ -515,6 +759,11 @@
         } else if (outcome.kind == JobOutcome::Kind::NotRun) {
             job.refused = true;
             m_findings.falseNotRun += job.starts > 0 && !job.mayHaveRun ? 1 : 0;
+        } else if (outcome.kind == JobOutcome::Kind::Completed) {
+            ++m_findings.completed;
+        } else if (outcome.kind == JobOutcome::Kind::Failed) {
+            ++m_findings.failed;
+            m_findings.failedHarmless += job.deadlyTask ? 0 : 1;
         }
     }
 
@@ -556,6 +805,20 @@
         after(ms(static_cast<int64_t>(below(1500))), [this] { disturb(); });
     }
 
+    // Begins one fault of the kinds that `m_faults` names, beside those of `disturb`.
+    void disturbUpstream()
+    {
+        Agent& agent = *m_agents[below(agentCount)];
+        const bool resets = m_faults.resets && (!m_faults.capacities || chance(50));
+        if (resets) {
+            agent.resetDue = true;
+        } else {
+            setCapacity(agent, coresMilli * static_cast<int64_t>(15 + below(80)) / 100);
+            after(ms(static_cast<int64_t>(below(8000))), [this, &agent] { setCapacity(agent, coresMilli); });
+        }
+        after(ms(static_cast<int64_t>(below(1000))), [this] { disturbUpstream(); });
+    }
+
     // The callers of a killed entry see their connections break.
     void killEntry(size_t n)
     {
@@ -573,6 +836,7 @@
     }
 
     std::mt19937_64 m_random;
+    const UpstreamFaults m_faults;
     const TimePoint m_begin { std::chrono::hours(1) };
     TimePoint m_now { m_begin };
     std::priority_queue<Event> m_events;
@@ -588,6 +852,31 @@
     Findings m_findings;
 };
 
+// Runs seeds of 20 s each with the given faults of upstreams. None of the findings is allowed under any order of events.
+Findings runSeeds(const char* what, uint64_t seeds, UpstreamFaults faults)
+{
+    Findings sum;
+    const auto number = [](uint64_t it) { return static_cast<unsigned long long>(it); };
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        FaultModel model(seed, faults);
+        const Findings it = model.run(std::chrono::seconds(20));
+        cr_expect_eq(it.overlaps, 0, "%s seed %llu: overlaps %llu", what, number(seed), number(it.overlaps));
+        cr_expect_eq(it.overCapacity, 0, "%s seed %llu: over capacity %llu", what, number(seed), number(it.overCapacity));
+        cr_expect_eq(it.falseNotRun, 0, "%s seed %llu: false not-run %llu", what, number(seed), number(it.falseNotRun));
+        cr_expect_eq(
+            it.overCrashLimit, 0, "%s seed %llu: over the crash limit %llu", what, number(seed), number(it.overCrashLimit));
+        sum += it;
+    }
+    std::printf("%s starts=%llu resubmitted=%llu lapsed=%llu crashes=%llu crashed_tasks=%llu often_crashed_tasks=%llu "
+                "resets=%llu shrunk=%llu completed=%llu failed=%llu failed_harmless=%llu\n",
+        what, number(sum.starts), number(sum.resubmitted), number(sum.lapsed), number(sum.crashes), number(sum.crashedTasks),
+        number(sum.oftenCrashedTasks), number(sum.resets), number(sum.shrunk), number(sum.completed), number(sum.failed),
+        number(sum.failedHarmless));
+    std::printf("%s overlaps=%llu over_capacity=%llu false_not_run=%llu over_crash_limit=%llu\n", what, number(sum.overlaps),
+        number(sum.overCapacity), number(sum.falseNotRun), number(sum.overCrashLimit));
+    return sum;
+}
+
 void initialiseLogging() { logging::initialise("model", "error", ""); }
 
 } // namespace
@@ -613,3 +902,34 @@
     cr_assert_gt(sum.resubmitted, 1000U);
     cr_assert_gt(sum.lapsed, 100U);
 }
+
+// Upstreams crash on tasks and come back without a record of what ran.
+Test(RunBounds, noTaskCrashesUpstreamsOnAndOn, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("crashes", 50, { 4, false, false });
+    cr_assert_gt(sum.crashes, 200U);
+    cr_assert_gt(sum.crashedTasks, 100U);
+}
+
+// The runs of an upstream go on while its connections are reset and refused.
+Test(RunBounds, noSecondRunBesideOneBehindARefusedConnection, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("resets", 30, { 0, true, false });
+    cr_assert_gt(sum.resets, 500U);
+}
+
+// Capacities shrink and grow again.
+Test(RunBounds, noStartBeyondACapacityThatHasShrunk, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("capacities", 20, { 0, false, true });
+    cr_assert_gt(sum.shrunk, 500U);
+}
+
+// All of these at a time.
+Test(RunBounds, noTwoRunsWhenUpstreamsCrashShrinkAndRefuse, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("all", 50, { 4, true, true });
+    cr_assert_gt(sum.crashes, 200U);
+    cr_assert_gt(sum.resets, 200U);
+    cr_assert_gt(sum.shrunk, 200U);
+}
