The model of run bounds lists a lapsed run under its own task

expireLease passed endRun a reference to the run's own task, which the erase replaces with that of the next run (or of none) before the end is listed. The run is copied first.

--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -585,7 +585,9 @@
     {
         while (clockMs(agent) > agent.leaseUntilMs && !agent.runs.empty()) {
             ++m_findings.lapsed;
-            endRun(agent, agent.runs.front().task, agent.runs.front().number, RunEnd::Lapsed);
+            // The end is listed after the run has been erased.
+            const Run run = agent.runs.front();
+            endRun(agent, run.task, run.number, RunEnd::Lapsed);
         }
     }
 
