A load pattern in which a tenth of one class of jobs crashes upstreams

The load model had no upstream that goes away. For 10 s, a tenth of the alerts or of the plans crash every upstream that starts them; upstreams are back after 1 s. There is no target for the share yet.

--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -22,7 +22,9 @@
     constexpr double needSpread = 0.2;
     constexpr int64_t coresMilli = 64000;
     constexpr int64_t memoryMb = 262144;
-    constexpr uint64_t upstreamBornMs = 1;
+    // Time from a crash of an upstream to its restart.
+    constexpr Duration downtime = std::chrono::milliseconds(1000);
+    constexpr Duration holdRetryInterval = std::chrono::milliseconds(30);
 
     Duration scaled(Duration duration, double factor)
     {
@@ -79,6 +81,9 @@
     uint64_t lastHold = 0;
     TimePoint holdSent;
     bool holdLost = false;
+    // The process of the upstream, and whether it is there.
+    uint64_t bornMs = 1;
+    bool down = false;
 };
 
 LoadModel::~LoadModel() = default;
@@ -128,13 +133,7 @@
         }
         m_agents.push_back(std::move(agent));
         schedule(tickInterval * static_cast<int64_t>(n) / static_cast<int64_t>(m_options.agents), [this, &host] {
-            Announcement it;
-            it.instance = host.id.name;
-            it.bornMs = upstreamBornMs;
-            it.sequence = 1;
-            it.service = "s";
-            it.capacity = { coresMilli, memoryMb, 0 };
-            host.table->onAnnouncement(m_now, it);
+            announce(host);
             startHold(host);
             tickAgent(host);
         });
@@ -148,6 +147,17 @@
     schedule(std::chrono::milliseconds(500), [this] { generateArrival(); });
 }
 
+void LoadModel::announce(AgentHost& agent)
+{
+    Announcement it;
+    it.instance = agent.id.name;
+    it.bornMs = agent.bornMs;
+    it.sequence = 1;
+    it.service = "s";
+    it.capacity = { coresMilli, memoryMb, 0 };
+    agent.table->onAnnouncement(m_now, it);
+}
+
 void LoadModel::schedule(Duration delay, std::function<void()> action)
 {
     m_events.push(Event { m_now + delay, ++m_lastEvent, std::move(action) });
@@ -233,11 +243,14 @@
     request.job.specification = request.id;
     request.job.steps = { step };
     m_actualRunTimes[request.id] = work;
+    if (kind.deadly && m_deadly)
+        m_deadlyJobs.insert(request.id);
     // The caller's objective is based on the actual run time, not on the estimate.
     const Duration objective = work * 8 / 5 + std::chrono::milliseconds(60);
     const TimePoint sent = m_now - m_options.linkDelay;
     entry.table->submit(m_now, request, [this, number, name = kind.name, sent, objective](const JobOutcome& outcome) {
         m_actualRunTimes.erase("job" + std::to_string(number));
+        m_deadlyJobs.erase("job" + std::to_string(number));
         if (number < m_firstCountedJob)
             return;
         JobClassCounters& count = m_counters.classes[name];
@@ -306,6 +319,13 @@
 
 void LoadModel::startRun(AgentHost& agent, uint64_t serial, const StartOrder& order)
 {
+    if (agent.down) {
+        schedule(upstreamDelay, [this, &agent, serial] {
+            agent.table->onStartReply(m_now, serial, StartVerdict::Unhealthy, std::nullopt);
+            processAgentEvents(agent);
+        });
+        return;
+    }
     const bool isRunning = std::any_of(
         agent.runs.begin(), agent.runs.end(), [&](const Run& it) { return it.task == order.task && it.number == order.run; });
     const auto lastEndedRun = agent.lastEndedRuns.find(order.task);
@@ -314,6 +334,15 @@
         replyToStart(agent, serial, isRunning ? StartVerdict::Accepted : StartVerdict::Superseded);
         return;
     }
+    if (m_deadlyJobs.contains(order.task.job)) {
+        ++m_counters.starts;
+        crash(agent);
+        schedule(upstreamDelay, [this, &agent, serial] {
+            agent.table->onStartReply(m_now, serial, StartVerdict::Unanswered, std::nullopt);
+            processAgentEvents(agent);
+        });
+        return;
+    }
     const auto work = m_actualRunTimes.find(order.task.job);
     const Duration length = work == m_actualRunTimes.end() ? std::chrono::milliseconds(1) : work->second;
     Run run;
@@ -330,7 +359,10 @@
         taken += it.need;
     m_counters.capacityViolations += taken > coresMilli ? 1 : 0;
     const RunEnd how = agent.failing ? RunEnd::Failed : RunEnd::Done;
-    schedule(run.ends - m_now, [this, &agent, task = order.task, n = order.run, how] { endRun(agent, task, n, how); });
+    schedule(run.ends - m_now, [this, &agent, task = order.task, n = order.run, how, process = agent.bornMs] {
+        if (agent.bornMs == process)
+            endRun(agent, task, n, how);
+    });
     replyToStart(agent, serial, StartVerdict::Accepted);
 }
 
@@ -349,7 +381,7 @@
 void LoadModel::stopRun(AgentHost& agent, const StopOrder& order)
 {
     endRun(agent, order.task, order.run, RunEnd::Stopped);
-    const bool lost = uniform() < agent.replyLossRate;
+    const bool lost = agent.down || uniform() < agent.replyLossRate;
     schedule(lost ? replyTimeout : upstreamDelay, [this, &agent, order, lost] { agent.table->onStopReply(m_now, order, !lost); });
 }
 
@@ -372,9 +404,13 @@
 void LoadModel::startHold(AgentHost& agent)
 {
     const HoldOrder order = agent.table->nextHold(m_now);
+    agent.holdSent = m_now;
+    if (agent.down) {
+        failHold(agent);
+        return;
+    }
     std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
     agent.holdNumber = ++agent.lastHold;
-    agent.holdSent = m_now;
     agent.holdLost = uniform() < agent.replyLossRate;
     const uint64_t number = agent.holdNumber;
     if (!agent.ended.empty())
@@ -389,6 +425,40 @@
     });
 }
 
+void LoadModel::failHold(AgentHost& agent)
+{
+    // No time-out of an earlier hold applies any more.
+    ++agent.lastHold;
+    agent.holdNumber = 0;
+    agent.table->onHoldFailure(m_now, false);
+    schedule(std::max(agent.holdSent + holdRetryInterval - m_now, upstreamDelay), [this, &agent] { startHold(agent); });
+}
+
+void LoadModel::crash(AgentHost& agent)
+{
+    ++m_counters.crashes;
+    agent.down = true;
+    for (const auto& it : agent.runs)
+        if (--m_runningCounts[it.task] == 0)
+            m_runningCounts.erase(it.task);
+    agent.runs.clear();
+    agent.ended.clear();
+    agent.lastEndedRuns.clear();
+    agent.lastEnd = 0;
+    schedule(downtime, [this, &agent] { restart(agent); });
+    // Otherwise the answer to the hold is on its way.
+    if (agent.holdNumber != 0)
+        failHold(agent);
+}
+
+void LoadModel::restart(AgentHost& agent)
+{
+    agent.down = false;
+    ++agent.bornMs;
+    announce(agent);
+    processAgentEvents(agent);
+}
+
 void LoadModel::replyToHold(AgentHost& agent, uint64_t number)
 {
     if (agent.holdNumber != number)
@@ -397,7 +467,7 @@
     if (agent.holdLost)
         return;
     Listing listing;
-    listing.bornMs = upstreamBornMs;
+    listing.bornMs = agent.bornMs;
     listing.clockMs = toMs(m_now.time_since_epoch());
     for (const auto& it : agent.runs) {
         const double total = std::max<double>(1, static_cast<double>((it.ends - it.started).count()));
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -25,6 +25,8 @@
     uint32_t tasks = 0;
     Duration run {};
     uint32_t priority = 0;
+    // Each upstream that starts a task of such a job crashes, while `setDeadly` says so.
+    bool deadly = false;
 };
 
 struct ModelOptions {
@@ -62,6 +64,7 @@
     uint64_t entryMessages = 0;
     uint64_t agentMessages = 0;
     uint64_t starts = 0;
+    uint64_t crashes = 0;
     // Starts that exceeded an upstream's capacity, and starts of tasks that were already running. Both must stay 0.
     uint64_t capacityViolations = 0;
     uint64_t concurrentStarts = 0;
@@ -90,6 +93,8 @@
     void setSlowness(size_t agent, double factor);
     void setReplyLossRate(size_t agent, double share);
     void setFailing(size_t agent, bool failing);
+    // Whether the classes marked as deadly crash upstreams.
+    void setDeadly(bool deadly) { m_deadly = deadly; }
 
     const ModelCounters& counters() const { return m_counters; }
     // Resets the counters; jobs already in flight are not counted.
@@ -124,6 +129,10 @@
     void endRun(AgentHost&, const StepTask&, uint64_t run, arbiter::RunEnd);
     void startHold(AgentHost&);
     void replyToHold(AgentHost&, uint64_t number);
+    void failHold(AgentHost&);
+    void announce(AgentHost&);
+    void crash(AgentHost&);
+    void restart(AgentHost&);
 
     ModelOptions m_options;
     std::mt19937_64 m_random;
@@ -132,6 +141,7 @@
     uint64_t m_lastJob = 0;
     uint64_t m_firstCountedJob = 0;
     double m_loadFactor = 1;
+    bool m_deadly = false;
     std::priority_queue<Event> m_events;
     std::vector<std::unique_ptr<EntryHost>> m_entries;
     // Index of each caller's entry.
@@ -139,6 +149,8 @@
     std::vector<std::unique_ptr<AgentHost>> m_agents;
     // Actual run time of each task of a job, by the job's specification.
     std::map<std::string, Duration> m_actualRunTimes;
+    // Specifications of deadly jobs that have been submitted and not answered.
+    std::set<std::string> m_deadlyJobs;
     std::map<StepTask, size_t> m_runningCounts;
     std::set<StepTask> m_completedTasks;
     ModelCounters m_counters;
--- a/fescuegw/model/LoadModelTest.cpp
+++ b/fescuegw/model/LoadModelTest.cpp
@@ -1,5 +1,6 @@
 // Load patterns simulated in virtual time with fixed seeds, against the production classes of entries and agents.
 #include <cstdio>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -183,6 +184,40 @@
     cr_assert_geq(shareInTime(model), degradedTarget);
 }
 
+// Pattern: for 10 s, a tenth of the jobs of one class crash every upstream that starts them. What the other jobs get in time is
+// printed; there is no target for it.
+Test(LoadModel, crashingTasksLeaveOtherJobsTheirUpstreams)
+{
+    for (const size_t kind : { 1, 2 }) {
+        ModelOptions options = clusterOptions(4, 11, baseLoad, 10);
+        JobClass deadly = options.classes[kind];
+        deadly.name = "deadly";
+        deadly.deadly = true;
+        deadly.weight /= 10;
+        options.classes[kind].weight -= deadly.weight;
+        options.classes.push_back(deadly);
+        LoadModel model(options);
+        model.run(std::chrono::seconds(2));
+        model.setDeadly(true);
+        model.resetCounters();
+        model.run(std::chrono::seconds(10));
+        const std::string what = "crashing_" + options.classes[kind].name;
+        print(what.c_str(), model);
+        // Deadly jobs may all be unanswered still.
+        JobClassCounters others;
+        for (const auto& it : model.counters().classes) {
+            others.submitted += it.first == deadly.name ? 0 : it.second.submitted;
+            others.inTime += it.first == deadly.name ? 0 : it.second.inTime;
+        }
+        std::printf("%s others=%llu others_in_time=%.3f crashes=%llu\n", what.c_str(),
+            static_cast<unsigned long long>(others.submitted),
+            static_cast<double>(others.inTime) / static_cast<double>(others.submitted),
+            static_cast<unsigned long long>(model.counters().crashes));
+        checkInvariants(model);
+        cr_assert_gt(model.counters().crashes, 0);
+    }
+}
+
 // Pattern: an upstream that becomes four times slower.
 Test(LoadModel, slowUpstreamIsAvoided)
 {
