Models tell entries of crashes; an unacknowledged end is lost with its process

The agents of both models broadcast crashes as the server does.

The load model counted a second completion after a crash as a fault although the first end had never been acknowledged.

--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -123,6 +123,7 @@
         hooks.stop = [this, &host](const StopOrder& it) { schedule(upstreamDelay, [this, &host, it] { stopRun(host, it); }); };
         hooks.report = [&host](const std::string& entry, const wire::AttemptReport& it) { host.links.report(entry, it); };
         hooks.grant = [&host](const std::string& entry, const wire::Grant& it) { host.links.grant(entry, it); };
+        hooks.broadcast = [&host](TimePoint now, const wire::AttemptReport& it) { host.links.broadcast(now, it); };
         host.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
         host.links.onView(m_now, view);
         // Introduces every entry's process to the agent; entries send nothing to agents that they have not heard from.
@@ -442,6 +443,10 @@
         if (--m_runningCounts[it.task] == 0)
             m_runningCounts.erase(it.task);
     agent.runs.clear();
+    // An end that is not acknowledged is lost with the process, and its task may run again.
+    for (const auto& it : agent.ended)
+        if (it.how == RunEnd::Done)
+            m_completedTasks.erase(it.task);
     agent.ended.clear();
     agent.lastEndedRuns.clear();
     agent.lastEnd = 0;
--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -295,6 +295,7 @@
         };
         hooks.report = [&agent](const std::string& entry, const wire::AttemptReport& it) { agent.links->report(entry, it); };
         hooks.grant = [&agent](const std::string& entry, const wire::Grant& it) { agent.links->grant(entry, it); };
+        hooks.broadcast = [&agent](TimePoint now, const wire::AttemptReport& it) { agent.links->broadcast(now, it); };
         agent.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
         announce(agent);
         startHold(agent);
