A start that the next process of an upstream has accepted is not lost with the process before

Cause: a reply to a start does not tell which process gave it, and RunTable counted every accepted start as one of the process that it knew. A start that reached the next process, before its first announcement or listing had reached the agent, was called lost with the process before, and its entry started it elsewhere beside the run that went on.

Change: only runs that a listing of the ended process has shown, and of which no send is open, are lost at once. All others wait for a listing of the next process. The fencing token rises with each process, so that a process that has answered a hold with the raised token refuses the orders that were meant for an earlier one; from then on a run that is not listed is not there and will not be. A run that the next process lists is kept, and no crash is counted under its task.

Two tests had a run confirmed by a reply alone and expected it to be lost, and its crash reported, with the announcement of the next process, which is the fault itself. They now list the run first, and a test of its own asks the same of a run that only a reply has confirmed, with the listing.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 #include "fescuegw/logging/Log.h"
 #include "fescuegw/wire/Direct.h"
@@ -70,22 +71,24 @@
     tick(now);
 }
 
-// A restarted upstream has no record of earlier runs and their numbers.
+// A restarted upstream has no record of earlier runs, run numbers and fencing tokens. Once it has carried out an order with the
+// raised token, it refuses those that were meant for an earlier process.
 void RunTable::beginIncarnation(TimePoint now, uint64_t bornMs)
 {
     if (m_bornMs != 0) {
-        const auto starting
-            = std::count_if(m_runs.begin(), m_runs.end(), [](const auto& it) { return it.second.state == State::Starting; });
-        const auto undecided = std::count_if(
-            m_runs.begin(), m_runs.end(), [](const auto& it) { return it.second.state == State::Starting && it.second.mayRun; });
+        const auto count = [&](const auto& matches) {
+            return static_cast<uint64_t>(
+                std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& it) { return matches(it.second); }));
+        };
         Event(Level::Warn, "upstream_restarted")
             .with("born", bornMs)
             .with("before", m_bornMs)
             .with("runs", running())
-            .with("starting", static_cast<uint64_t>(starting))
-            .with("undecided", static_cast<uint64_t>(undecided));
-        reportCrash(now);
-        markRunsLost(now, "upstream_restarted");
+            .with("starting", count([](const Run& it) { return it.state == State::Starting; }))
+            .with("undecided", count([](const Run& it) { return it.state == State::Starting && it.mayRun; }))
+            .with("unlisted", count([](const Run& it) { return it.confirmed && !it.listed; }));
+        endProcess(now);
+        ++m_fence;
     }
     m_bornMs = bornMs;
     m_acknowledged = 0;
@@ -97,40 +100,43 @@
     m_health = UpstreamHealth();
 }
 
-// Sent before the end of the attempts is reported, so that an entry knows of the crash when it decides about the next attempt.
-void RunTable::reportCrash(TimePoint now)
+// Runs that were listed by the process that has ended are lost with it. The others may be at work in the next one: it may have
+// accepted a start before this agent knew of it, and an order without an answer may still reach it.
+void RunTable::endProcess(TimePoint now)
 {
-    std::vector<wire::AttemptKey> attempts = std::move(m_possiblyCrashed);
-    m_possiblyCrashed.clear();
     // Planned work ends what still runs.
-    if (m_departed)
-        return;
-    for (const auto& it : m_runs)
-        if (it.second.state != State::Starting || it.second.mayRun)
-            attempts.push_back(it.second.request.key());
-    if (!m_hooks.broadcast)
-        return;
-    for (const auto& it : attempts) {
-        wire::AttemptReport report;
-        *report.mutable_key() = it;
-        report.set_state(wire::ATTEMPT_CRASHED);
-        report.set_process_ms(m_bornMs);
-        m_hooks.broadcast(now, report);
+    const bool crashed = !m_departed;
+    for (const auto& it : std::exchange(m_possiblyCrashed, {}))
+        if (crashed)
+            reportCrash(now, it, m_bornMs);
+    std::vector<uint64_t> lost;
+    for (auto& it : m_runs) {
+        Run& run = it.second;
+        if (run.listed && !run.mayRun && run.sendsInFlight == 0) {
+            lost.push_back(it.first);
+            if (crashed)
+                reportCrash(now, run.request.key(), m_bornMs);
+            continue;
+        }
+        run.listed = false;
+        run.processUnknown = true;
+        if (crashed && !run.crashedProcess)
+            run.crashedProcess = m_bornMs;
     }
+    for (const uint64_t it : lost)
+        finish(now, m_runs.find(it), wire::ATTEMPT_LOST, "upstream_restarted");
 }
 
-// A start in flight may still reach the restarted upstream, so its resources stay reserved until its lease expires. The process
-// before may have carried it out.
-void RunTable::markRunsLost(TimePoint now, const std::string& reason)
+// Sent before the end of the attempt is reported, so that an entry knows of the crash when it decides about the next attempt.
+void RunTable::reportCrash(TimePoint now, const wire::AttemptKey& key, uint64_t process)
 {
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        if (it->second.state == State::Starting)
-            it->second.mayHaveEnded = true;
-        else
-            finish(now, it, wire::ATTEMPT_LOST, reason);
-        it = next;
-    }
+    if (!m_hooks.broadcast)
+        return;
+    wire::AttemptReport report;
+    *report.mutable_key() = key;
+    report.set_state(wire::ATTEMPT_CRASHED);
+    report.set_process_ms(process);
+    m_hooks.broadcast(now, report);
 }
 
 void RunTable::onEntry(TimePoint now, const wire::EntryToUpstream& message)
@@ -251,6 +257,7 @@
 {
     run.state = State::Starting;
     run.sentAt = now;
+    run.fence = m_fence;
     ++run.sendCount;
     ++run.sendsInFlight;
     run.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
@@ -321,7 +328,8 @@
         confirm(now, run);
         break;
     case StartVerdict::Fenced:
-        m_fence += fenceIncrementMs;
+        if (run.fence == m_fence)
+            m_fence += fenceIncrementMs;
         retryOrGiveUp(now, it, "fenced");
         break;
     case StartVerdict::Superseded:
@@ -346,18 +354,24 @@
     case StartVerdict::Unanswered:
         // The task may be running, so a retry has to use the same number; without one, the lease bounds the run.
         run.mayRun = true;
-        if (run.state == State::Starting && run.sendCount <= m_options.maxStartRetries && accepting(now))
+        if (mayResend(now, run))
             sendStart(now, serial, run);
         break;
     }
     issueGrants(now);
 }
 
+// A start that may be with another process than the known one is not sent to that one as well.
+bool RunTable::mayResend(TimePoint now, const Run& run) const
+{
+    return run.state == State::Starting && !run.processUnknown && run.sendCount <= m_options.maxStartRetries && accepting(now);
+}
+
 // For a send of a start that the upstream has refused.
 void RunTable::retryOrGiveUp(TimePoint now, Runs::iterator it, const std::string& reason)
 {
     Run& run = it->second;
-    if (run.state == State::Starting && now <= run.startBy && run.sendCount <= m_options.maxStartRetries && accepting(now))
+    if (now <= run.startBy && mayResend(now, run))
         sendStart(now, it->first, run);
     else
         giveUpStart(now, it, reason);
@@ -446,6 +460,9 @@
         }
         listed.insert(it->first);
         confirm(now, it->second);
+        it->second.listed = true;
+        it->second.processUnknown = false;
+        it->second.crashedProcess = std::nullopt;
         it->second.percent = row.percent;
         if (it->second.state == State::Running)
             m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
@@ -459,25 +476,43 @@
     }
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        const Run& run = it->second;
-        if (!listed.contains(it->first)) {
-            // Missing: the listing is newer than the confirmation of the run. Never started: the listing is newer than the lease
-            // of the start, so the upstream refuses that start from now on. The clock of a restarted upstream does not compare
-            // with that lease.
-            const bool missing = run.confirmed && run.confirmedAt < sent;
-            const bool notRunning = !run.confirmed && run.sentAt < sent
-                && (run.mayHaveEnded ? run.sendsInFlight == 0 && run.leaseOverAt < sent : listing.clockMs > run.leaseUntilMs);
-            if (missing)
-                finish(now, it, wire::ATTEMPT_LOST, "vanished");
-            else if (notRunning && run.mayHaveEnded)
-                finish(now, it, wire::ATTEMPT_LOST, "start_unanswered");
-            else if (notRunning)
-                finish(now, it, wire::ATTEMPT_NOT_STARTED, "start_unanswered");
-        }
+        if (!listed.contains(it->first) && isAbsent(it->second, sent, listing))
+            endAbsent(now, it);
         it = next;
     }
 }
 
+// Returns whether a complete listing without the run proves that it is not there and will not be. `sent` is when the listing was
+// asked for.
+bool RunTable::isAbsent(const Run& run, TimePoint sent, const Listing& listing) const
+{
+    // The listing is newer than the confirmation of the run.
+    const bool missing = run.confirmed && run.confirmedAt < sent;
+    if (run.processUnknown) {
+        // The hold of this listing carried a higher fencing token than each send of the start.
+        const bool fenced = m_holdProcess == m_bornMs;
+        return run.sendsInFlight == 0 && (fenced || (missing && !run.mayRun));
+    }
+    if (run.confirmed)
+        return missing;
+    // Never started: the listing is newer than the lease of the start, so the upstream refuses that start from now on.
+    return run.sentAt < sent
+        && (run.mayHaveEnded ? run.sendsInFlight == 0 && run.leaseOverAt < sent : listing.clockMs > run.leaseUntilMs);
+}
+
+void RunTable::endAbsent(TimePoint now, Runs::iterator it)
+{
+    const Run& run = it->second;
+    if (run.crashedProcess)
+        reportCrash(now, run.request.key(), *run.crashedProcess);
+    if (run.processUnknown)
+        finish(now, it, wire::ATTEMPT_LOST, "upstream_restarted");
+    else if (run.confirmed)
+        finish(now, it, wire::ATTEMPT_LOST, "vanished");
+    else
+        finish(now, it, run.mayHaveEnded ? wire::ATTEMPT_LOST : wire::ATTEMPT_NOT_STARTED, "start_unanswered");
+}
+
 void RunTable::applyOrphans(const std::vector<RunId>& listed)
 {
     if (listed.size() != m_orphans.size())
@@ -502,6 +537,7 @@
 {
     HoldOrder hold;
     hold.fence = m_fence;
+    m_holdProcess = m_bornMs;
     hold.acknowledged = m_acknowledged;
     const bool busy = running() > 0;
     // A run that ended keeps its resources, and its caller waiting, until the next listing, so lost answers shorten the wait.
@@ -552,7 +588,11 @@
     if (now <= m_leasesExpireAt)
         return;
     while (!m_runs.empty()) {
-        m_possiblyCrashed.push_back(m_runs.begin()->second.request.key());
+        const Run& run = m_runs.begin()->second;
+        if (run.crashedProcess)
+            reportCrash(now, run.request.key(), *run.crashedProcess);
+        else
+            m_possiblyCrashed.push_back(run.request.key());
         finish(now, m_runs.begin(), wire::ATTEMPT_LOST, "lease_lapsed");
     }
 }
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -124,10 +124,17 @@
         bool mayRun = false;
         // Sends of the start that are not complete yet.
         uint32_t sendsInFlight = 0;
-        // Later listings cannot show whether the task has run: the upstream has restarted since the start was sent, or a row that
-        // could not be read may have been its end.
+        // Later listings cannot show whether the task has run: a row that could not be read may have been its end.
         bool mayHaveEnded = false;
+        // A listing of the known process has shown the run.
+        bool listed = false;
+        // The upstream has restarted since the start was sent, and either process may have carried it out.
+        bool processUnknown = false;
+        // The process that crashed when it may have had the run.
+        std::optional<uint64_t> crashedProcess;
         TimePoint sentAt;
+        // Of the last send.
+        uint64_t fence = 0;
         // Of the last send: on the upstream's clock, and when it is certain to be over.
         uint64_t leaseUntilMs = 0;
         TimePoint leaseOverAt;
@@ -157,8 +164,10 @@
     void settle(TimePoint now, const std::string& entry, const wire::AttemptKey&);
     void forgetSettled(TimePoint now);
     void beginIncarnation(TimePoint now, uint64_t bornMs);
-    void reportCrash(TimePoint now);
-    void markRunsLost(TimePoint now, const std::string& reason);
+    void endProcess(TimePoint now);
+    void reportCrash(TimePoint now, const wire::AttemptKey&, uint64_t process);
+    bool isAbsent(const Run&, TimePoint sent, const Listing&) const;
+    void endAbsent(TimePoint now, Runs::iterator);
     Runs::iterator find(const StepTask&, uint64_t run);
     void confirm(TimePoint now, Run&);
     void applyEnd(TimePoint now, const EndedRow&);
@@ -170,6 +179,7 @@
     void sendDueStop(TimePoint now, const RunId&, Stop&);
     void sendDueStops(TimePoint now);
     void updateRenewal(TimePoint now);
+    bool mayResend(TimePoint now, const Run&) const;
     void retryOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
     void giveUpStart(TimePoint now, Runs::iterator, const std::string& reason);
     void expireUpstreamLeases(TimePoint now);
@@ -184,7 +194,10 @@
     RunTableHooks m_hooks;
     uint64_t m_fence;
     std::optional<Announcement> m_announcement;
+    // Start time of the known process of the upstream.
     uint64_t m_bornMs = 0;
+    // The process for which the hold in flight is meant.
+    uint64_t m_holdProcess = 0;
     UpstreamClock m_clock;
     UpstreamHealth m_health;
     Slowness m_slowness;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -207,6 +207,7 @@
     Agent agent;
     agent.start("e1", "job");
     agent.confirm();
+    agent.list({ row("job", 1) }, {});
     agent.announce(2, 1, false);
     cr_assert(agent.accepted);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
@@ -473,12 +474,19 @@
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
     agent.start("e1", "refused");
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unhealthy, std::nullopt);
+    agent.list({ row("running", 1) }, {});
     agent.announce(2, 1, false);
-    cr_assert_eq(agent.broadcasts.size(), 2);
+    cr_assert_eq(agent.broadcasts.size(), 1);
     cr_assert_eq(agent.broadcasts[0].key().job(), "running");
-    cr_assert_eq(agent.broadcasts[1].key().job(), "undecided");
     cr_assert_eq(agent.broadcasts[0].state(), wire::ATTEMPT_CRASHED);
     cr_assert_eq(agent.broadcasts[0].process_ms(), 1);
+    agent.list({}, {});
+    cr_assert_eq(agent.broadcasts.size(), 1, "the next process may still carry it out");
+    agent.list({}, {});
+    cr_assert_eq(agent.broadcasts.size(), 2);
+    cr_assert_eq(agent.broadcasts[1].key().job(), "undecided");
+    cr_assert_eq(agent.broadcasts[1].state(), wire::ATTEMPT_CRASHED);
+    cr_assert_eq(agent.broadcasts[1].process_ms(), 1);
 
     agent.advance(ms(1000));
     agent.list({}, {});
@@ -740,6 +748,119 @@
     cr_assert(agent.broadcasts.empty());
 }
 
+// An upstream is back within milliseconds and accepts a start before its agent knows of the new process. Called lost with the
+// process before, the task would be started elsewhere beside this run.
+Test(RunTable, aRunThatTheNextProcessAcceptedIsNotLostWithTheOneBefore)
+{
+    for (const bool refusedOnce : { false, true }) {
+        Agent agent;
+        agent.start("e1", "job");
+        const uint64_t serial = agent.starts.back().first;
+        if (refusedOnce)
+            agent.table.onStartReply(agent.now, serial, StartVerdict::Late, agent.clock() + 5000);
+        agent.confirm();
+        agent.advance(ms(9));
+        agent.announce(2, 1, false);
+        cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED, "%s", agent.lastReason().c_str());
+        agent.advance(ms(70));
+        agent.list({ row("job", 1) }, {});
+        cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED, "%s", agent.lastReason().c_str());
+        cr_assert(agent.stops.empty(), "it is no foreign run");
+        agent.advance(ms(70));
+        agent.list({}, { ended(1, "job", 1, RunEnd::Done) });
+        cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE);
+        cr_assert(agent.broadcasts.empty(), "no crash under it");
+    }
+}
+
+// The reply to a start does not tell which process gave it; the first listing of the next process does.
+Test(RunTable, aRunThatTheProcessBeforeAcceptedIsLostWithAListingOfTheNext)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.advance(ms(20));
+    agent.announce(2, 1, false);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED);
+    cr_assert(agent.broadcasts.empty());
+    agent.list({}, {});
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
+    cr_assert_eq(agent.lastReason(), "upstream_restarted");
+    cr_assert_eq(agent.broadcasts.size(), 1);
+    cr_assert_eq(agent.broadcasts[0].process_ms(), 1);
+}
+
+// An order without an answer may be carried out by the next process. It no longer can be once that process has answered a hold
+// with a higher fencing token.
+Test(RunTable, anUnansweredStartIsLostOnceTheNextProcessRefusesIt)
+{
+    for (const bool carriedOut : { false, true }) {
+        Agent agent;
+        agent.start("e1", "job");
+        const uint64_t serial = agent.starts.back().first;
+        agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+        agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+        agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+        agent.advance(ms(20));
+        agent.announce(2, 1, false);
+        cr_assert_lt(agent.starts.back().second.fence, agent.table.nextHold(agent.now).fence);
+
+        Agent early;
+        early.start("e1", "job");
+        for (int n = 0; n < 3; ++n)
+            early.table.onStartReply(early.now, early.starts.back().first, StartVerdict::Unanswered, std::nullopt);
+        early.advance(ms(20));
+        early.announce(2, 1, false);
+        early.advance(ms(20));
+        early.list({}, {});
+        cr_assert(early.reports.empty(), "that hold was sent before the restart was known");
+
+        agent.advance(ms(20));
+        if (carriedOut) {
+            agent.list({ row("job", 1) }, {});
+            cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED);
+        } else {
+            agent.list({}, {});
+            cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
+            cr_assert_eq(agent.broadcasts.size(), 1);
+        }
+    }
+}
+
+// A start that a listing has shown on the process before, with a repeat that has no answer: the repeat may reach the next one.
+Test(RunTable, anUnansweredRepeatMayRunOnTheNextProcess)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const uint64_t serial = agent.starts.back().first;
+    agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+    agent.advance(ms(10));
+    agent.list({ row("job", 1) }, {});
+    agent.advance(ms(70));
+    agent.table.onStartReply(agent.now, serial, StartVerdict::Unanswered, std::nullopt);
+    agent.announce(2, 1, false);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED, "%s", agent.lastReason().c_str());
+    agent.advance(ms(10));
+    agent.list({ row("job", 1) }, {});
+    agent.list({}, { ended(1, "job", 1, RunEnd::Done) });
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE);
+}
+
+// A start that the next process refuses is given back at once, and does not raise the fencing token a second time.
+Test(RunTable, aStartThatTheNextProcessRefusesIsGivenBackAtOnce)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const uint64_t serial = agent.starts.back().first;
+    agent.announce(2, 1, false);
+    const uint64_t fence = agent.table.nextHold(agent.now).fence;
+    agent.list({}, {});
+    agent.table.onStartReply(agent.now, serial, StartVerdict::Fenced, std::nullopt);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+    cr_assert_eq(agent.starts.size(), 1);
+    cr_assert_eq(agent.table.nextHold(agent.now).fence, fence);
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
