After a failed hold nothing is acknowledged until a listing has named the process

What callers could see: a task that had ended is called lost and runs again.

Cause: the numbers of ends start anew with each process of an upstream. A hold that was built for the process before, and reached the next one, acknowledged ends of the next one that nobody had seen, and the upstream forgot them.

Change: between a failed hold and the next listing, holds acknowledge nothing. A crash ends the connection of the hold in flight, so the first hold that the next process gets is such a one. The ends that are listed again in between are known by their numbers.

The test nothingIsAcknowledgedToAProcessThatMayBeAnother failed before (57 was acknowledged after the failure).

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -434,6 +434,7 @@
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
+    m_holdFailed = false;
     m_possiblyCrashed.clear();
     m_clock.update(now, listing.clockMs);
     if (!m_lastListingAt)
@@ -527,6 +528,7 @@
 {
     if (fenced)
         m_fence += fenceIncrementMs;
+    m_holdFailed = true;
     m_holdFailedAt = now;
     tick(now);
 }
@@ -536,7 +538,8 @@
     HoldOrder hold;
     hold.fence = m_fence;
     m_holdProcess = m_bornMs;
-    hold.acknowledged = m_acknowledged;
+    // After a failed hold the next process may be there, whose ends have the same numbers.
+    hold.acknowledged = m_holdFailed ? 0 : m_acknowledged;
     const bool busy = running() > 0;
     // A run that ended keeps its resources, and its caller waiting, until the next listing, so lost answers shorten the wait.
     const bool lossy = m_holdFailedAt && now - *m_holdFailedAt < m_options.lossyPeriod;
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -216,6 +216,8 @@
     // Leases are not renewed, since a run that should have ended is still listed.
     bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
+    // There has been no listing since a hold failed.
+    bool m_holdFailed = false;
     std::optional<TimePoint> m_holdFailedAt;
     TimePoint m_leasesExpireAt;
     // Attempts that were lost while the upstream was out of reach: it may have crashed under them.
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -861,6 +861,19 @@
     cr_assert_eq(agent.table.nextHold(agent.now).fence, fence);
 }
 
+// The ends of the known process are numbered from 1, as are those of the next one. A hold that reaches the next process unawares
+// must not make it forget ends that nobody has seen.
+Test(RunTable, nothingIsAcknowledgedToAProcessThatMayBeAnother)
+{
+    Agent agent;
+    agent.list({}, { ended(57, "before", 1, RunEnd::Done) });
+    cr_assert_eq(agent.hold.acknowledged, 57);
+    agent.table.onHoldFailure(agent.now, false);
+    cr_assert_eq(agent.table.nextHold(agent.now).acknowledged, 0);
+    agent.list({}, { ended(57, "before", 1, RunEnd::Done) });
+    cr_assert_eq(agent.hold.acknowledged, 57);
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
