A late departure of an earlier process does not keep the next one out of use

What callers could see: an upstream that is back and well gets no tasks until it restarts again.

Cause: a departure names the instance only. One that was delayed until the next process had announced itself was booked on that one, and nothing took it back.

Change: an announcement of a process that is not leaving ends the departure. A process that departs has announced that it leaves, so no announcement of its own can.

The test aLateDepartureDoesNotEndTheUseOfTheNextProcess failed before.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -53,6 +53,9 @@
     const bool changed = !m_announcement || m_announcement->instance != next.instance || m_announcement->leaving != next.leaving
         || m_announcement->bornMs != next.bornMs;
     m_announcement = next;
+    // A process that leaves announces so before it departs, so the departure was that of an earlier one.
+    if (!next.leaving)
+        m_departed = false;
     if (changed)
         Event(Level::Info, "upstream_announced")
             .with("instance", next.instance)
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -895,6 +895,21 @@
     cr_assert_eq(agent.lastReason(), "lease_lapsed");
 }
 
+// The farewell of an upstream is delayed until its next process has announced itself. Taken for that of the next process, it
+// would keep it out of use for good.
+Test(RunTable, aLateDepartureDoesNotEndTheUseOfTheNextProcess)
+{
+    Agent agent;
+    agent.announce(2, 1, false);
+    agent.table.onDeparture(agent.now, "i-1");
+    agent.list({}, {});
+    cr_assert_not(agent.table.accepting(agent.now));
+    agent.announce(2, 2, true);
+    cr_assert_not(agent.table.accepting(agent.now));
+    agent.announce(2, 3, false);
+    cr_assert(agent.table.accepting(agent.now));
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
