Nothing is started at an upstream that refuses connections until its next listing

Cause: the agent went on to offer room and to send starts until its last listing was 400 ms old, although a refused connection shows at once that the process it knows is gone.

Change: a refused hold counts as the loss of the upstream (upstream_lost reason=refused); the next listing, which names its process, ends that. A time-out shows nothing, as before.

The test nothingIsStartedAtAnUpstreamThatRefusesConnections failed before; its HoldFailure replaces the flag of a fenced hold.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -104,7 +104,7 @@
         if (answer.listing)
             m_table.onListing(now, sent, *answer.listing);
         else
-            m_table.onHoldFailure(now, answer.fenced);
+            m_table.onHoldFailure(now, answer.failure);
         const bool failed = !answer.listing.has_value();
         if (failed != m_holdFailed)
             Event(failed ? Level::Warn : Level::Info, failed ? "hold_failed" : "hold_answered").with("reason", answer.reason);
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -533,10 +533,12 @@
     m_orphans = std::move(orphans);
 }
 
-void RunTable::onHoldFailure(TimePoint now, bool fenced)
+void RunTable::onHoldFailure(TimePoint now, HoldFailure failure)
 {
-    if (fenced)
+    if (failure == HoldFailure::Fenced)
         m_fence += fenceIncrementMs;
+    if (failure == HoldFailure::Refused)
+        loseUpstream(now, "refused");
     m_holdFailed = true;
     m_holdFailedAt = now;
     tick(now);
@@ -658,12 +660,22 @@
         event.with("request", overdue->second.task.job).with("reason", overdue->second.stopReason);
 }
 
+// Starts nothing until the next listing, which tells which process is there.
+void RunTable::loseUpstream(TimePoint now, const std::string& reason)
+{
+    if (!m_lastListingAt)
+        return;
+    Event(Level::Warn, "upstream_lost")
+        .with("reason", reason)
+        .with("listing_age_ms", toMs(now - *m_lastListingAt))
+        .with("runs", running());
+    m_lastListingAt = std::nullopt;
+}
+
 void RunTable::tick(TimePoint now)
 {
-    if (m_lastListingAt && now - *m_lastListingAt > m_options.listingTimeout) {
-        Event(Level::Warn, "upstream_lost").with("listing_age_ms", toMs(now - *m_lastListingAt)).with("runs", running());
-        m_lastListingAt = std::nullopt;
-    }
+    if (m_lastListingAt && now - *m_lastListingAt > m_options.listingTimeout)
+        loseUpstream(now, "silent");
     forgetSettled(now);
     expireUpstreamLeases(now);
     enforceEntryLeases(now);
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -80,8 +80,7 @@
     void onStopReply(TimePoint now, const StopOrder&, bool answered);
     // `sent` is when the hold that returned the listing was sent.
     void onListing(TimePoint now, TimePoint sent, const Listing&);
-    // A hold failed, or was refused because its fencing token was too low (`fenced`).
-    void onHoldFailure(TimePoint now, bool fenced);
+    void onHoldFailure(TimePoint now, HoldFailure);
 
     // Returns the next hold to send.
     HoldOrder nextHold(TimePoint now);
@@ -182,6 +181,7 @@
     void beginStop(TimePoint now, Run&, const std::string& reason, Duration grace);
     void sendDueStop(TimePoint now, const RunId&, Stop&);
     void sendDueStops(TimePoint now);
+    void loseUpstream(TimePoint now, const std::string& reason);
     void updateRenewal(TimePoint now);
     bool mayResend(TimePoint now, const Run&) const;
     void retryOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -264,10 +264,10 @@
     agent.list({ row("job", 1) }, {});
     const size_t before = agent.reports.size();
     agent.advance(ms(450));
-    agent.table.onHoldFailure(agent.now, false);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     cr_assert_eq(agent.reports.size(), before, "it may still run");
     agent.advance(ms(50));
-    agent.table.onHoldFailure(agent.now, false);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
     cr_assert_eq(agent.lastReason(), "lease_lapsed");
 }
@@ -361,14 +361,14 @@
     agent.start("e1", "job");
     agent.confirm();
     const Duration usual = agent.table.nextHold(agent.now).wait;
-    agent.table.onHoldFailure(agent.now, false);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     cr_assert_leq(agent.table.nextHold(agent.now).wait, ms(30));
     // One answer in three is lost.
     for (int n = 0; n < 30; ++n) {
         agent.advance(ms(60));
         agent.table.onEntry(agent.now, agent.message("e1"));
         if (n % 3 == 2)
-            agent.table.onHoldFailure(agent.now, false);
+            agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
         else
             agent.list({ row("job", 1) }, {});
         cr_assert_leq(agent.table.nextHold(agent.now).wait, ms(30));
@@ -871,7 +871,7 @@
     Agent agent;
     agent.list({}, { ended(57, "before", 1, RunEnd::Done) });
     cr_assert_eq(agent.hold.acknowledged, 57);
-    agent.table.onHoldFailure(agent.now, false);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     cr_assert_eq(agent.table.nextHold(agent.now).acknowledged, 0);
     agent.list({}, { ended(57, "before", 1, RunEnd::Done) });
     cr_assert_eq(agent.hold.acknowledged, 57);
@@ -886,11 +886,11 @@
     agent.confirm();
     for (int n = 0; n < 10; ++n) {
         agent.advance(ms(100));
-        agent.table.onHoldFailure(agent.now, false);
+        agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     }
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED, "%s", agent.lastReason().c_str());
     agent.advance(ms(200));
-    agent.table.onHoldFailure(agent.now, false);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_LOST);
     cr_assert_eq(agent.lastReason(), "lease_lapsed");
 }
@@ -910,6 +910,20 @@
     cr_assert(agent.table.accepting(agent.now));
 }
 
+// An upstream whose connections are refused has no process, and the next one may be there at any moment.
+Test(RunTable, nothingIsStartedAtAnUpstreamThatRefusesConnections)
+{
+    Agent agent;
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    cr_assert(agent.table.accepting(agent.now));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Refused);
+    cr_assert_not(agent.table.accepting(agent.now));
+    agent.start("e1", "job");
+    cr_assert_eq(agent.lastReason(), "not_accepting");
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
--- a/fescuegw/arbiter/Upstream.h
+++ b/fescuegw/arbiter/Upstream.h
@@ -112,4 +112,14 @@
 
 std::string_view toString(StartVerdict);
 
+// Why a hold returned no listing.
+enum class HoldFailure : uint8_t {
+    // No answer, or one that cannot be read.
+    Unanswered,
+    // Its fencing token was too low.
+    Fenced,
+    // The connection was refused: no process listens.
+    Refused,
+};
+
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/UpstreamLink.h
+++ b/fescuegw/arbiter/UpstreamLink.h
@@ -22,7 +22,8 @@
 struct HoldAnswer {
     // Empty when there was no valid answer.
     std::optional<Listing> listing;
-    bool fenced = false;
+    // Without a listing.
+    HoldFailure failure = HoldFailure::Unanswered;
     std::string reason;
 };
 
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -420,7 +420,7 @@
     schedule(order.wait + replyTimeout, [this, &agent, number] {
         if (agent.lastHold != number || !agent.holdLost)
             return;
-        agent.table->onHoldFailure(m_now, false);
+        agent.table->onHoldFailure(m_now, HoldFailure::Unanswered);
         startHold(agent);
         processAgentEvents(agent);
     });
@@ -431,7 +431,7 @@
     // No time-out of an earlier hold applies any more.
     ++agent.lastHold;
     agent.holdNumber = 0;
-    agent.table->onHoldFailure(m_now, false);
+    agent.table->onHoldFailure(m_now, HoldFailure::Unanswered);
     schedule(std::max(agent.holdSent + holdRetryInterval - m_now, upstreamDelay), [this, &agent] { startHold(agent); });
 }
 
--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -457,7 +457,7 @@
         agent.hold = 0;
         agent.holdFailed = true;
         after(upstreamDelay, [this, &agent] {
-            agent.table->onHoldFailure(m_now, false);
+            agent.table->onHoldFailure(m_now, HoldFailure::Unanswered);
             processAgent(agent);
             after(std::max(agent.holdSent + holdRetryInterval - m_now, Duration()), [this, &agent] { startHold(agent); });
         });
@@ -670,7 +670,7 @@
         after(order.wait + holdMargin, [this, &agent, number] {
             if (!agent.holdUnanswered || agent.holdFailed || agent.lastHold != number)
                 return;
-            agent.table->onHoldFailure(m_now, false);
+            agent.table->onHoldFailure(m_now, HoldFailure::Unanswered);
             startHold(agent);
             processAgent(agent);
         });
