--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -24,8 +24,8 @@
     // Addresses at which replicas of the state group may be reached.
     std::vector<settings::Address> seeds;
     EntryLinksOptions links;
-    // Threads that send orders to the upstream.
     RunTableOptions runs;
+    // Threads that send orders to the upstream.
     size_t orderThreads = 0;
     // Upper bound on the duration of a graceful stop.
     Duration drainLimit {};
