--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -92,7 +92,7 @@
             .with("runs", running())
             .with("starting", count([](const Run& it) { return it.state == State::Starting; }))
             .with("undecided", count([](const Run& it) { return it.state == State::Starting && it.mayRun; }))
-            .with("unlisted", count([](const Run& it) { return it.confirmed && !it.listed; }));
+            .with("listed", count(isKnownToBeThere));
         endProcess(now);
         ++m_fence;
     }
