A late departure does not hide a crash

What callers could see: a task that crashes its upstreams is started once more than it may be.

Cause: a departure names no process. One of an earlier process marked the known one as departed, and its crash then counted as planned work.

Change: an end is planned only if the known process has announced that it leaves.

The test aLateDepartureDoesNotHideACrash failed before. Found by review.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -112,8 +112,8 @@
 // accepted a start before this agent knew of it, and an order without an answer may still reach it.
 void RunTable::endProcess(TimePoint now)
 {
-    // Planned work ends what still runs.
-    const bool crashed = !m_departed;
+    // Planned work ends what still runs. A departure without a notice may be a late one of an earlier process.
+    const bool crashed = !m_departed || !m_announcement->leaving;
     for (const auto& it : std::exchange(m_possiblyCrashed, {}))
         if (crashed)
             reportCrash(now, it, m_bornMs);
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -975,6 +975,20 @@
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_STARTED, "%s", agent.lastReason().c_str());
 }
 
+// A late departure of the process before must not hide the crash of the known one.
+Test(RunTable, aLateDepartureDoesNotHideACrash)
+{
+    Agent agent;
+    agent.announce(2, 1, false);
+    agent.list({}, {});
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.list({ row("job", 1) }, {});
+    agent.table.onDeparture(agent.now, "i-1");
+    agent.announce(3, 1, false);
+    cr_assert_eq(agent.broadcasts.size(), 1);
+}
+
 // A start waits in the queue of orders, or its connection is slow, while its upstream restarts. The clock of the next process
 // does not compare with the lease of the order, so that process may still carry it out: called lost now, the task would run
 // twice at the same time.
