Model of run bounds: upstreams that are back before their agents notice

Cause: the model's processes had one and the same clock and no fencing tokens, and were gone for 300 ms at least, so that no start reached a process that the agent did not know. Two runs of a task after such a start (TWICE) could not show.

Change: each process has a clock of its own and keeps the highest token that it has seen. Upstreams restart within 50 to 500 ms, with connections that break or stay silent. Orders may reach the next process late. Refused holds are told as refused.

--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -1,8 +1,9 @@
 // Who knows that a start or a stop took effect, and what bounds a run when that isn't known (docs/DESIGN.md). The production
 // classes of entries and agents run in virtual time against upstreams that lose answers, refuse repeats, leave orders undone or
 // carry them out late, over links that are reset, and with entries that are killed. Upstreams also crash on tasks and come back
-// as new processes, refuse connections after a reset, and announce other capacities. Callers submit a job again 1,300 ms after an
-// unclear end.
+// as new processes, with another clock and without the fencing tokens, ends and run numbers of the one before; the next process
+// may be there before the agent knows of it, and may carry out orders that were meant for the one before. They refuse connections
+// after a reset, and announce other capacities. Callers submit a job again 1,300 ms after an unclear end.
 #include <algorithm>
 #include <cstdio>
 #include <deque>
@@ -53,6 +54,21 @@
 constexpr uint64_t crashLimit = 3;
 constexpr uint64_t maxStartsAfterCrashes = 3;
 
+// Down time of a quick restart.
+constexpr uint64_t minQuickDownMs = 50;
+constexpr uint64_t maxQuickDownMs = 500;
+// The next process announces itself within this time.
+constexpr uint64_t maxFirstAnnouncementMs = 100;
+// Orders that are held up are carried out within this time.
+constexpr uint64_t maxOrderDelayMs = 3000;
+// Of the crashes of quick restarts, those whose connections neither break nor are refused, in percent: no answer comes.
+constexpr uint64_t silentCrashes = 70;
+// Of the orders whose upstream has crashed, those that the next process may still get, in percent.
+constexpr uint64_t survivingOrders = 30;
+// The clock of the first process, and bounds on how far that of the next one is ahead of it or behind it.
+constexpr int64_t firstClockMs = 1000000;
+constexpr int64_t maxClockStepMs = 10000;
+
 // Faults of upstreams that are drawn beside the others.
 struct UpstreamFaults {
     // Share of the jobs of which one task crashes each upstream that starts it, in percent.
@@ -61,6 +77,8 @@
     bool resets = false;
     // Capacities shrink and grow again.
     bool capacities = false;
+    // Upstreams crash at any moment and are back before their agents notice.
+    bool quickRestarts = false;
 };
 
 // Shares of the requests of an upstream that meet a fault, in percent.
@@ -89,6 +107,15 @@
     uint64_t oftenCrashedTasks = 0;
     uint64_t resets = 0;
     uint64_t shrunk = 0;
+    // Restarts within `maxQuickDownMs`.
+    uint64_t quickRestarts = 0;
+    // Starts that were accepted by a process of which the agent did not know, and those of them whose run the agent still
+    // counted as its own when a listing of that process had shown it.
+    uint64_t startsAtUnknown = 0;
+    uint64_t adopted = 0;
+    // Orders that another process carried out than the one for which they were sent, and those that were refused by their token.
+    uint64_t ordersAtNext = 0;
+    uint64_t fencedOrders = 0;
     uint64_t completed = 0;
     uint64_t failed = 0;
     // Of the failed jobs, those that have no task that crashes upstreams.
@@ -108,6 +135,11 @@
         oftenCrashedTasks += other.oftenCrashedTasks;
         resets += other.resets;
         shrunk += other.shrunk;
+        quickRestarts += other.quickRestarts;
+        startsAtUnknown += other.startsAtUnknown;
+        adopted += other.adopted;
+        ordersAtNext += other.ordersAtNext;
+        fencedOrders += other.fencedOrders;
         completed += other.completed;
         failed += other.failed;
         failedHarmless += other.failedHarmless;
@@ -137,6 +169,8 @@
         after(ms(700), [this] { disturb(); });
         if (m_faults.resets || m_faults.capacities)
             after(ms(900), [this] { disturbUpstream(); });
+        if (m_faults.quickRestarts)
+            after(ms(800), [this] { restartQuickly(); });
         while (!m_events.empty() && m_events.top().at <= end) {
             const Event event = m_events.top();
             m_events.pop();
@@ -167,6 +201,14 @@
         StepTask task;
         uint64_t number = 0;
         int64_t need = 0;
+        // The agent does not know of the process yet.
+        bool processUnknown = false;
+    };
+
+    // An order on its way.
+    struct Call {
+        TimePoint sentAt;
+        std::function<void(bool)> handle;
     };
 
     struct Agent {
@@ -189,6 +231,13 @@
         uint64_t bornMs = 1;
         TimePoint bornAt;
         bool down = false;
+        // While it is down, connections are not refused, but nothing answers.
+        bool silent = false;
+        uint64_t clockAtBirthMs = firstClockMs;
+        uint64_t highestFence = 0;
+        // The process that announcements or listings have shown to the agent, and the runs that it counts as its own.
+        uint64_t knownProcess = 0;
+        std::map<StepTask, uint64_t> openRuns;
         uint64_t sequence = 1;
         int64_t capacity = coresMilli;
         // Capacities before they shrank, and when.
@@ -196,8 +245,7 @@
         // The next order carried out has its connection reset.
         bool resetDue = false;
         TimePoint refusedUntil;
-        // Orders on their way, and what handles their answers.
-        std::map<uint64_t, std::function<void(bool)>> calls;
+        std::map<uint64_t, Call> calls;
         uint64_t lastCall = 0;
         // The hold that waits, or 0, and the last one.
         uint64_t hold = 0;
@@ -227,6 +275,8 @@
         m_events.push({ m_now + delay, ++m_lastEvent, std::move(action) });
     }
     uint64_t below(uint64_t n) { return m_random() % n; }
+    // Short times are the more frequent ones.
+    uint64_t mostlyShort(uint64_t n) { return below(below(n) + 1); }
     bool chance(uint64_t percent) { return below(100) < percent; }
 
     void startEntry(size_t n)
@@ -286,6 +336,7 @@
             introduce(agent, *it);
         RunTableHooks hooks;
         hooks.start = [this, &agent](uint64_t serial, const StartOrder& it) {
+            agent.openRuns[it.task] = it.run;
             agent.starts.push_back([this, &agent, serial, it] { sendStart(agent, serial, it); });
             serveOrders(agent);
         };
@@ -293,7 +344,11 @@
             agent.stops.push_back([this, &agent, it] { sendStop(agent, it); });
             serveOrders(agent);
         };
-        hooks.report = [&agent](const std::string& entry, const wire::AttemptReport& it) { agent.links->report(entry, it); };
+        hooks.report = [&agent](const std::string& entry, const wire::AttemptReport& it) {
+            if (it.state() != wire::ATTEMPT_STARTED)
+                agent.openRuns.erase({ it.key().job(), it.key().step(), it.key().index() });
+            agent.links->report(entry, it);
+        };
         hooks.grant = [&agent](const std::string& entry, const wire::Grant& it) { agent.links->grant(entry, it); };
         hooks.broadcast = [&agent](TimePoint now, const wire::AttemptReport& it) { agent.links->broadcast(now, it); };
         agent.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
@@ -313,6 +368,7 @@
         it.sequence = agent.sequence;
         it.service = "s";
         it.capacity = { agent.capacity, 262144, 0 };
+        agent.knownProcess = agent.bornMs;
         agent.table->onAnnouncement(m_now, it);
     }
 
@@ -399,29 +455,51 @@
         }
     }
 
+    // Lets the upstream carry out an order that arrives now and was sent to `process`. One that arrives after a crash may have
+    // been held up on its way; one that arrives while no process is there is gone.
+    void arrive(Agent& agent, uint64_t process, const std::function<void()>& execute)
+    {
+        if (agent.down)
+            return;
+        if (agent.bornMs != process) {
+            if (!m_faults.quickRestarts || !chance(survivingOrders))
+                return;
+            ++m_findings.ordersAtNext;
+        }
+        execute();
+    }
+
+    // For an order that is sent while no process is there, and nothing refuses it.
+    void holdUp(Agent& agent, const std::function<void()>& execute)
+    {
+        after(ms(static_cast<int64_t>(mostlyShort(maxOrderDelayMs))),
+            [this, &agent, execute, process = agent.bornMs] { arrive(agent, process, execute); });
+    }
+
     // Lets an upstream carry out one order, at most once. `answer` is called with whether there was an answer.
     void callUpstream(
         Agent& agent, uint64_t undonePercent, const std::function<void()>& execute, const std::function<void(bool)>& answer)
     {
         const Trouble& trouble = agent.trouble;
         const bool undone = chance(undonePercent);
-        const bool late = !undone && chance(trouble.late);
+        const bool late = !undone && (agent.down || chance(trouble.late));
         const bool lost = undone || late || chance(trouble.lostAnswers);
-        const auto executeThere = [&agent, execute, process = agent.bornMs] {
-            if (agent.bornMs == process && !agent.down)
-                execute();
-        };
         if (late)
-            after(ms(static_cast<int64_t>(below(3000))), executeThere);
+            holdUp(agent, execute);
         else if (!undone)
-            after(upstreamDelay, executeThere);
+            after(upstreamDelay, [this, &agent, execute, process = agent.bornMs] {
+                if (agent.bornMs == process && !agent.down)
+                    execute();
+                else
+                    holdUp(agent, execute);
+            });
         const uint64_t call = ++agent.lastCall;
-        agent.calls[call] = answer;
+        agent.calls[call] = { m_now, answer };
         after(lost ? orderTimeout : 2 * upstreamDelay, [this, &agent, lost, call] {
             const auto it = agent.calls.find(call);
             if (it == agent.calls.end())
                 return;
-            const auto handler = std::move(it->second);
+            const auto handler = std::move(it->second.handle);
             agent.calls.erase(it);
             endOrder(agent, [&] { handler(!lost); });
         });
@@ -439,25 +517,36 @@
         serveOrders(agent);
     }
 
-    bool refusesConnections(const Agent& agent) const { return agent.down || m_now < agent.refusedUntil; }
+    bool refusesConnections(const Agent& agent) const { return (agent.down && !agent.silent) || m_now < agent.refusedUntil; }
 
     // The answers of all orders on their way are lost, and the hold fails.
     void breakConnections(Agent& agent)
     {
         for (const auto& it : std::exchange(agent.calls, {}))
-            after(resetDelay, [this, &agent, handler = it.second] { endOrder(agent, [&] { handler(false); }); });
+            after(resetDelay, [this, &agent, handler = it.second.handle] { endOrder(agent, [&] { handler(false); }); });
         const bool answerOnItsWay = agent.hold == 0 && !agent.holdUnanswered;
         if (answerOnItsWay || agent.holdFailed)
             return;
-        failHold(agent);
+        failHold(agent, HoldFailure::Unanswered);
+    }
+
+    // The answers of all orders on their way, and that of the hold, do not come.
+    void silenceConnections(Agent& agent)
+    {
+        for (const auto& it : std::exchange(agent.calls, {}))
+            after(it.second.sentAt + orderTimeout - m_now,
+                [this, &agent, handler = it.second.handle] { endOrder(agent, [&] { handler(false); }); });
+        if (agent.hold != 0)
+            agent.holdUnanswered = true;
+        agent.hold = 0;
     }
 
-    void failHold(Agent& agent)
+    void failHold(Agent& agent, HoldFailure failure)
     {
         agent.hold = 0;
         agent.holdFailed = true;
-        after(upstreamDelay, [this, &agent] {
-            agent.table->onHoldFailure(m_now, HoldFailure::Unanswered);
+        after(upstreamDelay, [this, &agent, failure] {
+            agent.table->onHoldFailure(m_now, failure);
             processAgent(agent);
             after(std::max(agent.holdSent + holdRetryInterval - m_now, Duration()), [this, &agent] { startHold(agent); });
         });
@@ -472,7 +561,7 @@
         breakConnections(agent);
     }
 
-    void crash(Agent& agent)
+    void crash(Agent& agent, Duration downTime, bool silent)
     {
         ++m_findings.crashes;
         for (const auto& it : agent.runs) {
@@ -489,19 +578,29 @@
         agent.closed.clear();
         agent.lastEnd = 0;
         agent.leaseUntilMs = 0;
-        breakConnections(agent);
-        after(ms(static_cast<int64_t>(300 + below(2700))), [this, &agent] { restart(agent); });
+        agent.highestFence = 0;
+        agent.silent = silent;
+        if (silent)
+            silenceConnections(agent);
+        else
+            breakConnections(agent);
+        after(downTime, [this, &agent, downTime] {
+            m_findings.quickRestarts += downTime <= ms(static_cast<int64_t>(maxQuickDownMs)) ? 1 : 0;
+            restart(agent);
+        });
     }
 
     void restart(Agent& agent)
     {
+        const int64_t clock = static_cast<int64_t>(clockMs(agent));
+        agent.clockAtBirthMs = static_cast<uint64_t>(clock - maxClockStepMs + static_cast<int64_t>(below(2 * maxClockStepMs)));
         agent.down = false;
         agent.refusedUntil = {};
         agent.bornAt = m_now;
         agent.bornMs = static_cast<uint64_t>((m_now - m_begin) / ms(1)) + 1;
         agent.sequence = 0;
         // The agent may learn of the new process from a listing first.
-        after(ms(static_cast<int64_t>(below(100))), [this, &agent, process = agent.bornMs] {
+        after(ms(static_cast<int64_t>(below(maxFirstAnnouncementMs))), [this, &agent, process = agent.bornMs] {
             if (agent.bornMs != process || agent.down)
                 return;
             ++agent.sequence;
@@ -542,7 +641,7 @@
         callUpstream(
             agent, agent.trouble.undone,
             [this, &agent, order, verdict, refused] {
-                *verdict = refused ? (chance(50) ? StartVerdict::Unhealthy : StartVerdict::NoRoom) : startRun(agent, order);
+                *verdict = refused && chance(50) ? StartVerdict::Unhealthy : startRun(agent, order, !refused);
             },
             [this, &agent, serial, verdict](
                 bool answered) { agent.table->onStartReply(m_now, serial, answered ? *verdict : StartVerdict::Unanswered); });
@@ -558,6 +657,8 @@
         callUpstream(
             agent, std::max(agent.trouble.undone, agent.trouble.undoneStops),
             [this, &agent, order] {
+                if (!passesFence(agent, order.fence))
+                    return;
                 uint64_t& closed = agent.closed[order.task];
                 closed = std::max(closed, order.run);
                 endRun(agent, order.task, order.run, RunEnd::Stopped);
@@ -568,7 +669,18 @@
     uint64_t clockMs(const Agent& agent) const
     {
         return static_cast<uint64_t>(static_cast<double>((m_now - agent.bornAt) / std::chrono::milliseconds(1)) * agent.clockRate)
-            + 1000;
+            + agent.clockAtBirthMs;
+    }
+
+    // A process does nothing for an order with a lower token than it has seen.
+    bool passesFence(Agent& agent, uint64_t fence)
+    {
+        if (fence < agent.highestFence) {
+            ++m_findings.fencedOrders;
+            return false;
+        }
+        agent.highestFence = fence;
+        return true;
     }
 
     void renewLease(Agent& agent, uint64_t untilMs)
@@ -590,8 +702,10 @@
         }
     }
 
-    StartVerdict startRun(Agent& agent, const StartOrder& order)
+    StartVerdict startRun(Agent& agent, const StartOrder& order, bool room)
     {
+        if (!passesFence(agent, order.fence))
+            return StartVerdict::Fenced;
         if (order.leaseUntilMs <= clockMs(agent))
             return StartVerdict::Late;
         const auto same = [&](const Run& it) { return it.task == order.task && it.number == order.run; };
@@ -600,6 +714,8 @@
             return StartVerdict::Accepted;
         if (const auto closed = agent.closed.find(order.task); closed != agent.closed.end() && order.run <= closed->second)
             return StartVerdict::Superseded;
+        if (!room)
+            return StartVerdict::NoRoom;
         Job& job = m_jobs.at(order.task.job);
         ++job.starts;
         ++m_findings.starts;
@@ -607,7 +723,9 @@
         for (const auto& it : m_agents)
             m_findings.overlaps += static_cast<uint64_t>(
                 std::count_if(it->runs.begin(), it->runs.end(), [&](const Run& run) { return run.task == order.task; }));
-        agent.runs.push_back({ order.task, order.run, agent.needs[order.task] });
+        const bool unknown = agent.bornMs != agent.knownProcess;
+        m_findings.startsAtUnknown += unknown ? 1 : 0;
+        agent.runs.push_back({ order.task, order.run, agent.needs[order.task], unknown });
         int64_t taken = 0;
         for (const auto& it : agent.runs)
             taken += it.need;
@@ -629,7 +747,7 @@
         const Duration delay = chance(70) ? Duration() : ms(static_cast<int64_t>(below(50)));
         after(delay, [this, &agent, process = agent.bornMs] {
             if (agent.bornMs == process && !agent.down)
-                crash(agent);
+                crash(agent, ms(static_cast<int64_t>(300 + below(2700))), false);
         });
     }
 
@@ -655,17 +773,20 @@
         agent.holdFailed = false;
         if (refusesConnections(agent)) {
             agent.holdUnanswered = true;
-            failHold(agent);
+            failHold(agent, HoldFailure::Refused);
             return;
         }
-        const bool undone = chance(agent.trouble.undone);
+        const bool undone = agent.down || chance(agent.trouble.undone);
         agent.holdUnanswered = undone || chance(agent.trouble.lostAnswers);
-        if (!undone) {
-            std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
-            if (order.leaseUntilMs)
-                renewLease(agent, *order.leaseUntilMs);
+        if (undone) {
+            if (m_faults.quickRestarts && chance(survivingOrders))
+                holdUp(agent, [this, &agent, order] { (void)applyHold(agent, order); });
+        } else if (applyHold(agent, order)) {
             after(agent.ended.empty() ? order.wait + upstreamDelay : upstreamDelay,
                 [this, &agent, number] { answerHold(agent, number); });
+        } else if (!agent.holdUnanswered) {
+            failHold(agent, HoldFailure::Fenced);
+            return;
         }
         after(order.wait + holdMargin, [this, &agent, number] {
             if (!agent.holdUnanswered || agent.holdFailed || agent.lastHold != number)
@@ -676,6 +797,17 @@
         });
     }
 
+    // Returns false, without effect, if the fencing token is too low.
+    bool applyHold(Agent& agent, const HoldOrder& order)
+    {
+        if (!passesFence(agent, order.fence))
+            return false;
+        std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
+        if (order.leaseUntilMs)
+            renewLease(agent, *order.leaseUntilMs);
+        return true;
+    }
+
     void answerHold(Agent& agent, uint64_t number)
     {
         if (agent.hold != number)
@@ -691,12 +823,28 @@
             listing.running.push_back({ it.task, it.number, 50 });
         listing.ended = agent.ended;
         after(upstreamDelay, [this, &agent, listing, sent = agent.holdSent] {
+            agent.knownProcess = std::max(agent.knownProcess, listing.bornMs);
             agent.table->onListing(m_now, sent, listing);
+            countAdopted(agent, listing);
             startHold(agent);
             processAgent(agent);
         });
     }
 
+    void countAdopted(Agent& agent, const Listing& listing)
+    {
+        if (listing.bornMs != agent.bornMs)
+            return;
+        for (const auto& row : listing.running) {
+            const auto it = std::find_if(agent.runs.begin(), agent.runs.end(),
+                [&](const Run& run) { return run.task == row.task && run.number == row.run; });
+            if (it == agent.runs.end() || !std::exchange(it->processUnknown, false))
+                continue;
+            const auto open = agent.openRuns.find(row.task);
+            m_findings.adopted += open != agent.openRuns.end() && open->second == row.run ? 1 : 0;
+        }
+    }
+
     void submitNext()
     {
         const std::string id = "job" + std::to_string(m_jobs.size());
@@ -820,6 +968,17 @@
         after(ms(static_cast<int64_t>(below(1000))), [this] { disturbUpstream(); });
     }
 
+    // Restarts an upstream, every now and then the same one again.
+    void restartQuickly()
+    {
+        m_lastRestarted = chance(40) ? m_lastRestarted : below(agentCount);
+        Agent& agent = *m_agents[m_lastRestarted];
+        if (!agent.down)
+            crash(agent, ms(static_cast<int64_t>(minQuickDownMs + mostlyShort(maxQuickDownMs - minQuickDownMs + 1))),
+                chance(silentCrashes));
+        after(ms(static_cast<int64_t>(300 + below(1700))), [this] { restartQuickly(); });
+    }
+
     // The callers of a killed entry see their connections break.
     void killEntry(size_t n)
     {
@@ -844,6 +1003,7 @@
     uint64_t m_lastEvent = 0;
     uint64_t m_lastIncarnation = 0;
     uint64_t m_lastExchange = 0;
+    size_t m_lastRestarted = 0;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::vector<std::unique_ptr<Agent>> m_agents;
     std::map<std::pair<size_t, AgentId>, Link> m_links;
@@ -873,6 +1033,9 @@
         what, number(sum.starts), number(sum.resubmitted), number(sum.lapsed), number(sum.crashes), number(sum.crashedTasks),
         number(sum.oftenCrashedTasks), number(sum.resets), number(sum.shrunk), number(sum.completed), number(sum.failed),
         number(sum.failedHarmless));
+    std::printf("%s quick_restarts=%llu starts_at_unknown=%llu adopted=%llu orders_at_next=%llu fenced_orders=%llu\n", what,
+        number(sum.quickRestarts), number(sum.startsAtUnknown), number(sum.adopted), number(sum.ordersAtNext),
+        number(sum.fencedOrders));
     std::printf("%s overlaps=%llu over_capacity=%llu false_not_run=%llu over_crash_limit=%llu\n", what, number(sum.overlaps),
         number(sum.overCapacity), number(sum.falseNotRun), number(sum.overCrashLimit));
     return sum;
@@ -907,7 +1070,7 @@
 // Upstreams crash on tasks and come back without a record of what ran.
 Test(RunBounds, noTaskCrashesUpstreamsOnAndOn, .init = initialiseLogging)
 {
-    const Findings sum = runSeeds("crashes", 50, { 4, false, false });
+    const Findings sum = runSeeds("crashes", 50, { 4, false, false, false });
     cr_assert_gt(sum.crashes, 200U);
     cr_assert_gt(sum.crashedTasks, 100U);
 }
@@ -915,22 +1078,40 @@
 // The runs of an upstream go on while its connections are reset and refused.
 Test(RunBounds, noSecondRunBesideOneBehindARefusedConnection, .init = initialiseLogging)
 {
-    const Findings sum = runSeeds("resets", 30, { 0, true, false });
+    const Findings sum = runSeeds("resets", 30, { 0, true, false, false });
     cr_assert_gt(sum.resets, 500U);
 }
 
 // Capacities shrink and grow again.
 Test(RunBounds, noStartBeyondACapacityThatHasShrunk, .init = initialiseLogging)
 {
-    const Findings sum = runSeeds("capacities", 20, { 0, false, true });
+    const Findings sum = runSeeds("capacities", 20, { 0, false, true, false });
     cr_assert_gt(sum.shrunk, 500U);
 }
 
 // All of these at a time.
 Test(RunBounds, noTwoRunsWhenUpstreamsCrashShrinkAndRefuse, .init = initialiseLogging)
 {
-    const Findings sum = runSeeds("all", 50, { 4, true, true });
+    const Findings sum = runSeeds("all", 50, { 4, true, true, false });
     cr_assert_gt(sum.crashes, 200U);
     cr_assert_gt(sum.resets, 200U);
     cr_assert_gt(sum.shrunk, 200U);
 }
+
+// The next process of an upstream is there, and accepts starts, before the agent knows of it.
+Test(RunBounds, noRunOfTheNextProcessIsLostWithTheOneBefore, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("quick-restarts", 40, { 0, false, false, true });
+    cr_assert_gt(sum.quickRestarts, 400U);
+    cr_assert_gt(sum.startsAtUnknown, 30U);
+    cr_assert_gt(sum.adopted, 20U);
+}
+
+// All faults at a time.
+Test(RunBounds, noTwoRunsWhenUpstreamsAreBackAtOnceAmongAllFaults, .init = initialiseLogging)
+{
+    const Findings sum = runSeeds("all-quick", 40, { 4, true, true, true });
+    cr_assert_gt(sum.quickRestarts, 400U);
+    cr_assert_gt(sum.startsAtUnknown, 10U);
+    cr_assert_gt(sum.adopted, 10U);
+}
