--- a/tools/cmake/Targets.cmake
+++ b/tools/cmake/Targets.cmake
@@ -21,14 +21,14 @@
   set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
-# fescuegw_test(NAME SOURCES ... DEPENDS ...): one Criterion test program, run by ctest with fixed seeds.
+# fescuegw_test(NAME SOURCES ... DEPENDS ... [ARGUMENTS ...]): one Criterion test program, run by ctest with fixed seeds.
 function(fescuegw_test NAME)
   if(NOT FESCUEGW_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES})
   target_compile_options(${NAME} PRIVATE ${FESCUEGW_WARNINGS})
   target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS} criterion)
-  add_test(NAME ${NAME} COMMAND ${NAME})
+  add_test(NAME ${NAME} COMMAND ${NAME} ${ARG_ARGUMENTS})
 endfunction()
