The soak draws workers that crash and are back within half a second

Cause: no fault of the soak was a crash by chance with a quick restart, and every process's clock started at 0, so that a start which the next process had accepted before its agent knew of it was not met.

Plans of the other options are unchanged (digests).

--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -18,9 +18,14 @@
     constexpr std::array runBoundUpstreamFaults { FaultKind::RefuseRepeats, FaultKind::LeaveUndone, FaultKind::LateOrders };
     constexpr std::array runBoundEntryFaults { FaultKind::Reset, FaultKind::CutBoth, FaultKind::Kill, FaultKind::Pause };
 
+    constexpr std::array quickRestartsLinkFaults { FaultKind::Reset, FaultKind::CutBoth };
+
     // Connections are refused for less than any lease; capacities are small for longer than a shrunk capacity may be overlooked.
     constexpr uint32_t minRefusalMs = 50;
     constexpr uint32_t maxRefusalMs = 500;
+    // Upstreams are back before their agents call them out of use.
+    constexpr uint32_t minDownMs = 50;
+    constexpr uint32_t maxDownMs = 500;
     constexpr uint32_t minShrinkMs = 4000;
     constexpr uint32_t maxShrinkMs = 7000;
 
@@ -81,6 +86,28 @@
             return fault;
         }
 
+        Fault nextQuickRestartsFault()
+        {
+            Fault fault;
+            // Weights in percent: crashes 55, refused connections 15, late orders 15, network faults 15.
+            const uint32_t category = below(100);
+            fault.target = category < 85 ? Target::Upstream : Target::Entry;
+            fault.length = between(minLengthMs, maxLengthMs);
+            if (category < 55) {
+                fault.kind = FaultKind::Crash;
+                fault.length = between(minDownMs, maxDownMs);
+            } else if (category < 70) {
+                fault.kind = FaultKind::ResetAndRefuse;
+                fault.length = between(minRefusalMs, maxRefusalMs);
+            } else if (category < 85) {
+                fault.kind = FaultKind::LateOrders;
+            } else {
+                fault.kind = quickRestartsLinkFaults.at(below(quickRestartsLinkFaults.size()));
+            }
+            fault.index = below(count(fault.target));
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -132,9 +159,9 @@
 
 std::string_view toString(FaultKind kind)
 {
-    constexpr std::array<std::string_view, 22> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
+    constexpr std::array<std::string_view, 23> names { "kill", "stop", "pause", "reload", "cut_both", "cut_outward", "cut_inward",
         "delay", "reset", "silence", "slow", "hang", "fail", "late_orders", "restart", "leave", "wipe_disk", "tear_log",
-        "refuse_repeats", "leave_undone", "reset_and_refuse", "shrink" };
+        "refuse_repeats", "leave_undone", "reset_and_refuse", "shrink", "crash" };
     return names.at(static_cast<size_t>(kind));
 }
 
@@ -157,9 +184,10 @@
     std::vector<Fault> plan;
     const auto lastMs = static_cast<uint32_t>(toMs(options.length) - maxLengthMs);
     for (uint32_t n = 0; n < options.series; ++n) {
-        Fault fault = options.crashes ? generator.nextCrashesFault()
-            : options.runBounds       ? generator.nextRunBoundFault()
-                                      : generator.nextFault();
+        Fault fault = options.quickRestarts ? generator.nextQuickRestartsFault()
+            : options.crashes               ? generator.nextCrashesFault()
+            : options.runBounds             ? generator.nextRunBoundFault()
+                                            : generator.nextFault();
         fault.at = options.calm + generator.between(0, lastMs - static_cast<uint32_t>(toMs(options.calm)));
         const bool allTargets = generator.below(100) < allTargetsPercent && fault.kind != FaultKind::WipeDisk;
         const uint32_t repeats = fault.kind == FaultKind::WipeDisk ? 1 : 1 + generator.below(maxRepeats);
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -53,6 +53,8 @@
     // new ones are refused for `length`; the capacity is smaller for `length`.
     ResetAndRefuse,
     Shrink,
+    // Upstream fault of a quick-restarts plan: the process crashes, and the next one is there after `length`.
+    Crash,
 };
 
 std::string_view toString(FaultKind);
@@ -91,6 +93,9 @@
     bool runBounds = false;
     // Draws only faults of upstreams that live on, to go with tasks that crash their upstreams.
     bool crashes = false;
+    // Draws crashes of upstreams that are back within half a second, beside refused connections, late orders and the link faults
+    // of a run-bounds plan.
+    bool quickRestarts = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -30,6 +30,9 @@
     options.runBounds = true;
     options.series = 8;
     cr_assert_eq(digestOfPlans(options), 9806429866781286070U);
+    options.runBounds = false;
+    options.crashes = true;
+    cr_assert_eq(digestOfPlans(options), 7678949933181241034U);
 }
 
 Test(faultPlan, theSameSeedGivesTheSamePlan)
@@ -95,6 +98,29 @@
     cr_assert_gt(shrinks, 100U);
 }
 
+Test(faultPlan, aQuickRestartsPlanBringsCrashedUpstreamsBackWithinHalfASecond)
+{
+    PlanOptions options;
+    options.quickRestarts = true;
+    std::array<size_t, static_cast<size_t>(FaultKind::Crash) + 1> kinds {};
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        for (const auto& it : drawPlan(seed, {}, options)) {
+            ++kinds.at(static_cast<size_t>(it.kind));
+            cr_assert(it.at >= options.calm && it.at + it.length <= options.length);
+            const bool hitsEntry = it.kind == FaultKind::Reset || it.kind == FaultKind::CutBoth;
+            cr_assert(it.target == (hitsEntry ? Target::Entry : Target::Upstream));
+            if (it.kind == FaultKind::Crash)
+                cr_assert(it.length >= std::chrono::milliseconds(50) && it.length <= std::chrono::milliseconds(500));
+        }
+    }
+    size_t others = 0;
+    for (const FaultKind it : { FaultKind::ResetAndRefuse, FaultKind::LateOrders, FaultKind::Reset, FaultKind::CutBoth }) {
+        cr_assert_gt(kinds.at(static_cast<size_t>(it)), 10U);
+        others += kinds.at(static_cast<size_t>(it));
+    }
+    cr_assert_gt(kinds.at(static_cast<size_t>(FaultKind::Crash)), others);
+}
+
 Test(faultPlan, losesADiskOnlyAwayFromOtherReplicaFaults)
 {
     const PlanOptions options;
--- a/fescuegw/soak/Ledger.cpp
+++ b/fescuegw/soak/Ledger.cpp
@@ -65,6 +65,13 @@
     m_upstreams[upstream].runs.clear();
 }
 
+void Ledger::onUpstreamCrashed(const std::string& upstream)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_crashes;
+    m_upstreams[upstream].runs.clear();
+}
+
 Resources Ledger::Upstream::countedCapacity(TimePoint now, Duration shrinkLimit) const
 {
     return now - changedAt <= shrinkLimit ? componentMax(formerCapacity, capacity) : capacity;
--- a/fescuegw/soak/Ledger.h
+++ b/fescuegw/soak/Ledger.h
@@ -65,6 +65,8 @@
     void onUpstreamStarted(const std::string& upstream, const Resources& capacity);
     // `task` has crashed the upstream; whatever was running there is gone.
     void onUpstreamCrashed(const std::string& upstream, const StepTask& task);
+    // The same by chance.
+    void onUpstreamCrashed(const std::string& upstream);
     void onCapacityChanged(TimePoint now, const std::string& upstream, const Resources& capacity);
     void onLeavingAcknowledged(TimePoint now, const std::string& upstream);
     // `prompt` says whether the start request was delivered without delay.
