Orders name the process that they are meant for

Callers saw two runs of one task at a time when an order was carried out by another process of the upstream than the one that it was sent to: an order without an answer may be carried out seconds later, by a process that has seen no fencing token yet, and by a clock of its own.

Change: starts, stops and holds carry the name of the known process; another one refuses them (421). Such a refusal says that nothing was carried out, that the known process is gone, and that the next hold has to go without a name, a lease or a cursor, so that its listing tells who is there. Refusals of orders for an earlier process are ignored.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -52,6 +52,8 @@
         beginIncarnation(now, next.bornMs);
     const bool changed = !m_announcement || m_announcement->instance != next.instance || m_announcement->leaving != next.leaving
         || m_announcement->bornMs != next.bornMs;
+    if (!m_announcement || m_announcement->instance != next.instance)
+        m_instanceOutdated = false;
     m_announcement = next;
     // A process that leaves announces so before it departs, so the departure was that of an earlier one.
     if (!next.leaving)
@@ -99,6 +101,7 @@
         m_leasesExpireAt = m_longestLeasesExpireAt;
     }
     m_bornMs = bornMs;
+    m_instanceOutdated = false;
     m_acknowledged = 0;
     m_orphans.clear();
     m_departed = false;
@@ -269,13 +272,15 @@
     run.state = State::Starting;
     run.sentAt = now;
     run.fence = m_fence;
+    run.process = m_bornMs;
     ++run.sendCount;
     ++run.sendsInFlight;
     run.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
     run.leaseOverAt = UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease);
     onLeaseGiven(now);
     m_hooks.start(serial,
-        StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence, now + m_options.upstreamLease });
+        StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence, now + m_options.upstreamLease,
+            knownInstance() });
 }
 
 void RunTable::beginStop(TimePoint now, Run& run, const std::string& reason, Duration grace)
@@ -293,7 +298,7 @@
     if (stop.inFlight || now < stop.due)
         return;
     stop.inFlight = true;
-    m_hooks.stop(StopOrder { run.first, run.second, m_fence });
+    m_hooks.stop(StopOrder { run.first, run.second, m_fence, knownInstance() });
 }
 
 void RunTable::onStopReply(TimePoint now, const StopOrder& order, bool answered)
@@ -364,6 +369,10 @@
         m_health.onFailure(now, run.task.job);
         giveUpStart(now, it, "unhealthy");
         break;
+    case StartVerdict::OtherProcess:
+        onOtherProcess(now, run.process);
+        giveUpStart(now, it, "other_process");
+        break;
     case StartVerdict::Unanswered:
         // The task may be running, so a retry has to use the same number; without one, the lease bounds the run.
         run.mayRun = true;
@@ -546,6 +555,8 @@
         m_fence += fenceIncrementMs;
     if (failure == HoldFailure::Refused)
         loseUpstream(now, "refused");
+    if (failure == HoldFailure::OtherProcess)
+        onOtherProcess(now, m_holdProcess);
     m_holdFailed = true;
     m_holdFailedAt = now;
     tick(now);
@@ -555,9 +566,10 @@
 {
     HoldOrder hold;
     hold.fence = m_fence;
+    hold.instance = knownInstance();
     m_holdProcess = m_bornMs;
     // After a failed hold the next process may be there, whose ends have the same numbers.
-    hold.acknowledged = m_holdFailed ? 0 : m_acknowledged;
+    hold.acknowledged = m_holdFailed || m_instanceOutdated ? 0 : m_acknowledged;
     const bool busy = running() > 0;
     // A run that ended keeps its resources, and its caller waiting, until the next listing, so lost answers shorten the wait.
     const bool lossy = m_holdFailedAt && now - *m_holdFailedAt < m_options.lossyPeriod;
@@ -679,6 +691,22 @@
     m_lastListingAt = std::nullopt;
 }
 
+// An order for `process` has met another one. The next hold names none, so that its listing tells which one is there.
+void RunTable::onOtherProcess(TimePoint now, uint64_t process)
+{
+    if (process != m_bornMs || m_instanceOutdated)
+        return;
+    loseUpstream(now, "replaced");
+    m_instanceOutdated = true;
+    m_clock.reset();
+}
+
+std::string RunTable::knownInstance() const
+{
+    const bool known = m_announcement && m_announcement->bornMs == m_bornMs && !m_instanceOutdated;
+    return known ? m_announcement->instance : std::string();
+}
+
 void RunTable::tick(TimePoint now)
 {
     if (m_lastListingAt && now - *m_lastListingAt > m_options.listingTimeout)
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -138,6 +138,7 @@
         TimePoint sentAt;
         // Of the last send.
         uint64_t fence = 0;
+        uint64_t process = 0;
         // Of the last send: on the upstream's clock, and when it is certain to be over.
         uint64_t leaseUntilMs = 0;
         TimePoint leaseOverAt;
@@ -183,6 +184,9 @@
     void sendDueStop(TimePoint now, const RunId&, Stop&);
     void sendDueStops(TimePoint now);
     void loseUpstream(TimePoint now, const std::string& reason);
+    void onOtherProcess(TimePoint now, uint64_t process);
+    // Returns the name of the known process, or an empty string while that is not known.
+    std::string knownInstance() const;
     void updateRenewal(TimePoint now);
     bool mayResend(TimePoint now, const Run&) const;
     void retryOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
@@ -202,6 +206,8 @@
     std::optional<Announcement> m_announcement;
     // Start time of the known process of the upstream.
     uint64_t m_bornMs = 0;
+    // Another process than the announced one has refused an order, so orders name none until the next announcement.
+    bool m_instanceOutdated = false;
     // The process for which the hold in flight is meant.
     uint64_t m_holdProcess = 0;
     UpstreamClock m_clock;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -24,10 +24,10 @@
         list({}, {});
     }
 
-    void announce(uint64_t born, uint64_t sequence, bool leaving)
+    void announce(uint64_t born, uint64_t sequence, bool leaving, const std::string& instance = "i-1")
     {
         Announcement it;
-        it.instance = "i-1";
+        it.instance = instance;
         it.bornMs = born;
         it.sequence = sequence;
         it.service = "s";
@@ -1003,3 +1003,101 @@
     }
     cr_assert(agent.reports.empty(), "its order has no answer yet: %s", agent.lastReason().c_str());
 }
+
+// A late order was carried out by the next process of the upstream.
+Test(RunTable, ordersNameTheProcessThatTheyAreMeantFor)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    cr_assert_eq(agent.starts.back().second.instance, "i-1");
+    agent.confirm();
+    agent.stop("e1", "job");
+    cr_assert_eq(agent.stops.back().instance, "i-1");
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-1");
+    agent.announce(2, 1, false, "i-2");
+    agent.list({}, {});
+    cr_assert_eq(agent.hold.instance, "i-2");
+    agent.start("e1", "next");
+    cr_assert_eq(agent.starts.back().second.instance, "i-2");
+}
+
+// A process is listed before it has told its name.
+Test(RunTable, ordersNameNoProcessWhileItsNameIsNotKnown)
+{
+    Agent agent;
+    agent.incarnation = 2;
+    agent.list({}, {});
+    cr_assert_eq(agent.hold.instance, "");
+    agent.announce(2, 1, false, "i-2");
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-2");
+}
+
+Test(RunTable, aStartThatMeetsAnotherProcessIsGivenBack)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.list({ row("job", 1) }, { ended(1, "earlier", 1, RunEnd::Done) });
+    agent.start("e1", "next");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+    cr_assert_eq(agent.lastReason(), "other_process");
+    cr_assert_eq(agent.table.running(), 1, "the other run may be with either process");
+    cr_assert(!agent.table.accepting(agent.now));
+    const HoldOrder hold = agent.table.nextHold(agent.now);
+    cr_assert_eq(hold.instance, "");
+    cr_assert_eq(hold.acknowledged, 0);
+    cr_assert(!hold.leaseUntilMs, "the clock of the other process is not known");
+}
+
+// Its earlier send may have been carried out.
+Test(RunTable, anUnansweredStartWhoseRepeatMeetsAnotherProcessMayRun)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    cr_assert_eq(agent.starts.size(), 2);
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    cr_assert(agent.reports.empty());
+    cr_assert_eq(agent.table.running(), 1);
+}
+
+Test(RunTable, aHoldThatMeetsAnotherProcessIsRepeatedWithoutAName)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.table.onHoldFailure(agent.now, HoldFailure::OtherProcess);
+    cr_assert(!agent.table.accepting(agent.now));
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "");
+    agent.announce(2, 1, false, "i-2");
+    agent.list({}, {});
+    cr_assert_eq(agent.hold.instance, "i-2");
+    cr_assert(agent.table.accepting(agent.now));
+}
+
+// The refusal of an order for the process before says nothing of the name of the next one.
+Test(RunTable, aLateRefusalDoesNotOutdateTheNameOfTheNextProcess)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.announce(2, 1, false, "i-2");
+    agent.list({}, {});
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    cr_assert(agent.table.accepting(agent.now));
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-2");
+}
+
+// Every process refuses the announced name, for example since an odd announcement has named another one.
+Test(RunTable, anUpstreamThatRefusesItsAnnouncedNameIsUsedWithoutOne)
+{
+    Agent agent;
+    agent.table.onHoldFailure(agent.now, HoldFailure::OtherProcess);
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+    agent.start("e1", "job");
+    cr_assert_eq(agent.starts.back().second.instance, "");
+    agent.announce(1, 2, false);
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "");
+    agent.announce(1, 3, false, "i-3");
+    cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-3");
+}
--- a/fescuegw/arbiter/Upstream.cpp
+++ b/fescuegw/arbiter/Upstream.cpp
@@ -36,6 +36,8 @@
         return "unhealthy";
     case StartVerdict::Invalid:
         return "invalid";
+    case StartVerdict::OtherProcess:
+        return "other_process";
     case StartVerdict::Unanswered:
         return "unanswered";
     }
--- a/fescuegw/arbiter/Upstream.h
+++ b/fescuegw/arbiter/Upstream.h
@@ -71,6 +71,8 @@
     friend bool operator==(const Listing&, const Listing&) = default;
 };
 
+// Orders name the process that they are meant for, so that an order which is carried out late, or reaches the address of a
+// process that has been replaced, is refused. Empty: any process.
 struct StartOrder {
     StepTask task;
     uint64_t run = 0;
@@ -80,12 +82,14 @@
     uint64_t fence = 0;
     // The order is not sent after this time: an upstream that has restarted since has another clock and would carry it out.
     TimePoint sendBy = TimePoint::max();
+    std::string instance;
 };
 
 struct StopOrder {
     StepTask task;
     uint64_t run = 0;
     uint64_t fence = 0;
+    std::string instance;
 };
 
 // Long poll: renews the lease of all runs, acknowledges ended runs and returns a listing when a run ends or after `wait`.
@@ -94,6 +98,7 @@
     uint64_t fence = 0;
     uint64_t acknowledged = 0;
     Duration wait {};
+    std::string instance;
 };
 
 enum class StartVerdict : uint8_t {
@@ -106,6 +111,8 @@
     NoRoom,
     Unhealthy,
     Invalid,
+    // Another process than the one that the order names is there.
+    OtherProcess,
     // No answer: the task may be running, or start seconds later.
     Unanswered,
 };
@@ -120,6 +127,8 @@
     Fenced,
     // The connection was refused: no process listens.
     Refused,
+    // Another process than the one that the hold names is there.
+    OtherProcess,
 };
 
 } // namespace fescuegw::arbiter
