Nothing is started for a caller that left while its entry stood still

Callers that lose their connection send the job again 1,300 ms later, at any entry. An entry that stood still for longer than that went on with what it knew before: it read and started requests whose callers had gone, and repeated attempts that its agents had ended, until a thread of its HTTP server noticed the closed connections, up to 100 ms later. Beside the job's run at another entry that is a second run of each task.

Change: the entry asks its HTTP server which callers have gone, at most every 100 ms, before it handles a message, a request or the passing of time; what it decides is never based on older knowledge. The server hands on no request whose connection is closed by the time it is read.

--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -91,7 +91,7 @@
     prometheus::Histogram &completedMs, &otherMs;
 };
 
-DirectServer::DirectServer(DirectSettings settings, daemon::Metrics& metrics)
+DirectServer::DirectServer(DirectSettings settings, daemon::Metrics& metrics, std::function<std::vector<uint64_t>()> goneCallers)
     : m_settings(std::move(settings))
     , m_identity(m_settings.process.name + "/" + std::to_string(wallClockMs()))
     , m_random(randomIdentity())
@@ -103,6 +103,7 @@
               },
               [this](uint64_t bound) { return m_random() % bound; },
               [this](const JobRequest& request, const JobOutcome& outcome, Duration took) { onJobEnd(request, outcome, took); },
+              std::move(goneCallers),
           })
     , m_counters(std::make_shared<Counters>(metrics))
 {
@@ -261,11 +262,6 @@
     });
 }
 
-void DirectServer::abandon(uint64_t exchange)
-{
-    m_hub->post([this, exchange](TimePoint now) { m_jobs.abandon(now, exchange); });
-}
-
 void DirectServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
 {
     if (m_state->onMessage(now, peer, content))
--- a/fescuegw/direct/DirectServer.h
+++ b/fescuegw/direct/DirectServer.h
@@ -68,11 +68,12 @@
 
 using AnswerHook = std::function<void(const Answer&)>;
 
-// HTTP threads post requests; the link thread, which calls `run`, processes them and sends messages. `submit`, `query`, `cancel`
-// and `abandon` are thread-safe; their hooks are called on the link thread.
+// HTTP threads post requests; the link thread, which calls `run`, processes them and sends messages. `submit`, `query` and
+// `cancel` are thread-safe; their hooks are called on the link thread.
 class DirectServer {
 public:
-    DirectServer(DirectSettings, daemon::Metrics&);
+    // `goneCallers` returns the exchanges whose callers have gone, until they are answered. It is called on the link thread.
+    DirectServer(DirectSettings, daemon::Metrics&, std::function<std::vector<uint64_t>()> goneCallers);
 
     Result<void> start();
     int run();
@@ -84,7 +85,6 @@
     // Queries a queue (`path` ends with its prefix) or a job's state.
     void query(std::string host, std::string path, AnswerHook);
     void cancel(std::string host, std::string path, AnswerHook);
-    void abandon(uint64_t exchange);
 
     void updateSeeds(const std::vector<settings::Address>&);
     // Returns whether the load balancer may send callers here.
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -12,6 +12,7 @@
 
 void JobTable::onAgent(TimePoint now, const wire::UpstreamToEntry& message)
 {
+    checkCallers(now);
     const AgentId id { message.agent(), message.incarnation() };
     AgentView* view = m_offers.onMessage(now, message);
     if (view == nullptr)
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -23,8 +23,26 @@
 {
 }
 
+// Nothing is decided with older knowledge of the callers than the interval: a caller that has gone may have sent its job again
+// elsewhere, and while this process stands still, nothing shows it.
+void JobTable::checkCallers(TimePoint now)
+{
+    if (!m_hooks.goneCallers || now < m_callerCheckDue)
+        return;
+    m_callerCheckDue = now + m_options.callerCheckInterval;
+    const auto gone = m_hooks.goneCallers();
+    m_goneCallers = { gone.begin(), gone.end() };
+    for (const uint64_t it : gone)
+        abandon(now, it);
+}
+
 void JobTable::submit(TimePoint now, JobRequest request, JobResponder respond)
 {
+    checkCallers(now);
+    if (m_goneCallers.contains(request.exchange)) {
+        respond({ JobOutcome::Kind::Abandoned, "caller_gone", 0 });
+        return;
+    }
     const auto existing = m_jobs.find(request.id);
     if (existing != m_jobs.end() && !existing->second.answered) {
         existing->second.callers.push_back({ request.exchange, std::move(respond) });
@@ -227,6 +245,7 @@
 
 void JobTable::tick(TimePoint now)
 {
+    checkCallers(now);
     if (now < m_tickDue)
         return;
     m_tickDue = now + m_options.tickInterval;
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -34,6 +34,8 @@
     // Together with the age of the echoed clock, this is under half of the agent's lease.
     Duration minReplyInterval { std::chrono::milliseconds(180) };
     OfferPaceOptions offerPace;
+    // Time between two checks for callers that have gone; well below the time after which a caller may send a job again.
+    Duration callerCheckInterval { std::chrono::milliseconds(100) };
     // Time between two checks of jobs and agents for expired time limits.
     Duration tickInterval { std::chrono::milliseconds(10) };
     DemandNotifierOptions demand;
@@ -66,6 +68,8 @@
     std::function<uint64_t(uint64_t)> random;
     // Called with the outcome and the time since submission.
     std::function<void(const JobRequest&, const JobOutcome&, Duration)> onEnd;
+    // Returns the exchanges whose callers have gone, until they are answered.
+    std::function<std::vector<uint64_t>()> goneCallers;
 };
 
 // Counts since the process started, for metrics.
@@ -181,6 +185,7 @@
 
     using Jobs = std::map<std::string, Job>;
 
+    void checkCallers(TimePoint now);
     std::string refusalReason(TimePoint now, const Job&) const;
     bool isReady(const Job&, size_t step) const;
     void enqueueReady(TimePoint now, Job&);
@@ -231,6 +236,9 @@
     // Attempts are numbered over all jobs: a late report of an earlier submission must not match an attempt of the next one.
     uint32_t m_lastAttempt = 0;
     std::optional<TimePoint> m_drainUntil;
+    TimePoint m_callerCheckDue;
+    // By the last check.
+    std::set<uint64_t> m_goneCallers;
     TimePoint m_tickDue;
     TimePoint m_messageCheckDue;
     // Tasks were queued since the queue was last checked against all agents.
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -28,7 +28,7 @@
                  offerInterval[agent] = message.offer_interval_ms();
                  acked[agent] = message.acked_reports();
              },
-                [](uint64_t) { return 0; }, {} })
+                [](uint64_t) { return 0; }, {}, [this] { return goneCallers; } })
     {
     }
 
@@ -120,6 +120,7 @@
     std::map<AgentId, uint64_t> acked;
     std::map<AgentId, uint32_t> slowness;
     std::map<std::string, JobOutcome> outcomes;
+    std::vector<uint64_t> goneCallers;
     JobTable table;
 };
 
@@ -723,3 +724,43 @@
     entry.report(a1, entry.starts[0].second, wire::ATTEMPT_NOT_STARTED, "no_room", 64000);
     cr_assert_eq(entry.starts.size(), 2);
 }
+
+// An entry stands still while a caller leaves, and its agents end its runs. The caller has sent the job again elsewhere when the
+// entry goes on: the first thing that it learns may be the loss of an attempt.
+Test(JobTable, noAttemptIsRepeatedForACallerThatLeftWhileTheEntryStoodStill)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    entry.now += ms(1400);
+    entry.goneCallers = { 1 };
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_LOST, "entry_lease_over", 64000);
+    cr_assert_eq(entry.starts.size(), 1);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
+}
+
+// The same for a request that waited to be read.
+Test(JobTable, noJobIsStartedForACallerThatHasGone)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.now += ms(1400);
+    entry.goneCallers = { 1 };
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    cr_assert_eq(entry.starts.size(), 0);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
+}
+
+Test(JobTable, aCallerThatLeavesIsNoticedWithinTheInterval)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    entry.goneCallers = { 1 };
+    entry.advance(50);
+    entry.advance(60);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
+    cr_assert_eq(entry.stops.size(), 1);
+}
--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -19,9 +19,6 @@
     constexpr int statusTooLarge = 413;
     constexpr std::chrono::milliseconds drainPollInterval { 5 };
     constexpr int maxDrainPolls = 400;
-    // How often pending connections are checked for callers that have disconnected; well below the second or more after which a
-    // caller may resend.
-    constexpr std::chrono::milliseconds disconnectCheckInterval { 100 };
 
     struct ListenAddress {
         sockaddr_storage storage {};
@@ -85,6 +82,21 @@
         return result;
     }
 
+    int descriptorOf(MHD_Connection* connection)
+    {
+        const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        return info == nullptr ? -1 : info->connect_fd;
+    }
+
+    bool isClosed(const pollfd& it) { return (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0; }
+
+    // Returns whether the other end has closed its side of the connection.
+    bool isGone(int descriptor)
+    {
+        pollfd it { descriptor, POLLRDHUP, 0 };
+        return poll(&it, 1, 0) > 0 && isClosed(it);
+    }
+
     // One HTTP exchange. The request is filled in by a server thread; the response may be set on any thread.
     struct Exchange {
         std::mutex mutex;
@@ -129,10 +141,8 @@
     std::atomic<uint64_t> pending { 0 };
     std::atomic<uint64_t> lastExchange { 0 };
     std::atomic<bool> closesAfterResponse { false };
-    std::atomic<bool> stopping { false };
-    std::thread abandonDetector;
-    std::mutex unansweredMutex;
-    // Exchanges without a response, by number; filled only if `onAbandoned` is set.
+    mutable std::mutex unansweredMutex;
+    // Exchanges without a response, by number; filled only if `tracksCallers` is set.
     std::map<uint64_t, std::shared_ptr<Exchange>> unansweredExchanges;
 
     static MHD_Result onAccess(void* user, MHD_Connection* connection, const char* url, const char* method,
@@ -199,13 +209,17 @@
             return queueResponse(exchange->connection,
                 problem({ Verdict::NotRun, statusTooLarge, "allowed: " + limit + " bytes" }), closesAfterResponse);
         }
+        // After this process has stood still, the request may be older than its caller's patience, and the caller may have sent
+        // it again elsewhere.
+        if (options.tracksCallers && isGone(descriptorOf(exchange->connection)))
+            return MHD_NO;
         MHD_suspend_connection(exchange->connection);
         const uint64_t number = ++lastExchange;
         exchange->request.exchange = number;
-        if (options.onAbandoned)
+        if (options.tracksCallers)
             addUnanswered(number, exchange);
         handler(std::move(exchange->request), [this, exchange, number](Response response) {
-            if (options.onAbandoned)
+            if (options.tracksCallers)
                 removeUnanswered(number);
             const std::lock_guard<std::mutex> lock(exchange->mutex);
             if (exchange->answered)
@@ -219,8 +233,7 @@
 
     void addUnanswered(uint64_t number, const std::shared_ptr<Exchange>& exchange)
     {
-        const auto* info = MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        exchange->descriptor = info == nullptr ? -1 : info->connect_fd;
+        exchange->descriptor = descriptorOf(exchange->connection);
         const std::lock_guard<std::mutex> lock(unansweredMutex);
         unansweredExchanges[number] = exchange;
     }
@@ -231,10 +244,10 @@
         unansweredExchanges.erase(number);
     }
 
-    // Removes and returns the exchanges whose callers have disconnected. libmicrohttpd does not read from suspended connections
-    // and so does not detect this. No descriptor can be closed and reused during the check, since an exchange is removed from
-    // `unansweredExchanges` before its connection is resumed.
-    std::vector<uint64_t> takeAbandoned()
+    // libmicrohttpd does not read from suspended connections and so does not detect a caller that disconnects. No descriptor can
+    // be closed and reused during the check, since an exchange is removed from `unansweredExchanges` before its connection is
+    // resumed.
+    std::vector<uint64_t> goneCallers() const
     {
         const std::lock_guard<std::mutex> lock(unansweredMutex);
         std::vector<pollfd> descriptors;
@@ -245,23 +258,11 @@
         }
         if (descriptors.empty() || poll(descriptors.data(), descriptors.size(), 0) <= 0)
             return {};
-        std::vector<uint64_t> abandoned;
-        for (size_t i = 0; i < descriptors.size(); ++i) {
-            if ((descriptors[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0)
-                continue;
-            abandoned.push_back(numbers[i]);
-            unansweredExchanges.erase(numbers[i]);
-        }
-        return abandoned;
-    }
-
-    void detectAbandoned()
-    {
-        while (!stopping) {
-            std::this_thread::sleep_for(disconnectCheckInterval);
-            for (const uint64_t it : takeAbandoned())
-                options.onAbandoned(it);
-        }
+        std::vector<uint64_t> gone;
+        for (size_t i = 0; i < descriptors.size(); ++i)
+            if (isClosed(descriptors[i]))
+                gone.push_back(numbers[i]);
+        return gone;
     }
 };
 
@@ -278,9 +279,6 @@
     // The daemon may be stopped only after all suspended connections were resumed, which is up to the owner of the handler.
     for (int n = 0; n < maxDrainPolls && m_impl->pending > 0; ++n)
         std::this_thread::sleep_for(drainPollInterval);
-    m_impl->stopping = true;
-    if (m_impl->abandonDetector.joinable())
-        m_impl->abandonDetector.join();
     if (m_impl->daemon != nullptr)
         MHD_stop_daemon(m_impl->daemon);
     if (m_impl->quiescedDescriptor >= 0)
@@ -301,8 +299,6 @@
         poolOption, threads, MHD_OPTION_END);
     if (m_impl->daemon == nullptr)
         return tl::unexpected(Error { Verdict::NotRun, 500, m_impl->options.listen.text() + ": can't listen" });
-    if (m_impl->options.onAbandoned)
-        m_impl->abandonDetector = std::thread([this] { m_impl->detectAbandoned(); });
     return {};
 }
 
@@ -312,6 +308,8 @@
         m_impl->quiescedDescriptor = MHD_quiesce_daemon(m_impl->daemon);
 }
 
+std::vector<uint64_t> Server::goneCallers() const { return m_impl->goneCallers(); }
+
 void Server::closeAfterAnswers() { m_impl->closesAfterResponse = true; }
 
 uint64_t Server::pending() const { return m_impl->pending; }
--- a/fescuegw/http/Server.h
+++ b/fescuegw/http/Server.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fescuegw/base/Types.h"
 #include "fescuegw/settings/Settings.h"
@@ -23,7 +24,7 @@
     std::string incarnation;
     // All headers, with names in lower case.
     std::map<std::string, std::string> headers;
-    // Number of the exchange within its server, as passed to `ServerOptions::onAbandoned`.
+    // Number of the exchange within its server, as returned by `Server::goneCallers`.
     uint64_t exchange = 0;
 
     // Returns the value of the header `name` (in lower case), or "".
@@ -57,8 +58,8 @@
     uint32_t connectionLimit = 4096;
     uint32_t idleSeconds = 30;
     size_t bodyLimit = 4U << 20U;
-    // Called on a thread of the server when a caller closes its connection before the response. Empty disables detection.
-    std::function<void(uint64_t exchange)> onAbandoned;
+    // Whether `Server::goneCallers` is used. A request whose caller has gone when it has been read does not reach the handler.
+    bool tracksCallers = false;
 };
 
 // HTTP/1.1 server with a fixed number of threads. The handler runs on one of them and must not block; the response may be sent
@@ -78,6 +79,9 @@
     // Stops accepting connections; open ones are still served.
     void quiesce();
 
+    // Returns the exchanges that have no response yet and whose callers have closed their connections.
+    std::vector<uint64_t> goneCallers() const;
+
     // Makes every further response close its connection, so that callers reconnect to another server.
     void closeAfterAnswers();
 
