Messages of one batch are handled at their own times

The hub took the time once for each batch. A process that stood still or worked for long within a batch handled newer messages with an older time: an entry then counted an agent as silent from before it had last heard it, while the clock that it echoed renewed the agent's lease, so the bound of 1,250 ms behind "no attempt of a silent agent still runs" did not hold.

Each message is handled with the time at which it was taken from its socket. The new case of net_test fails before the change.

--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -379,11 +379,10 @@
     }
     ++m_counters.waits;
     m_counters.socketReads += names.size() + (readRouter ? 1 : 0);
-    const TimePoint now = monotonicNow();
     if (m_sockets->router && readRouter)
-        receiveAccepted(now);
+        receiveAccepted();
     for (const auto& it : names)
-        receiveFrom(now, it);
+        receiveFrom(it);
 }
 
 // A probe and its answer are empty messages. Reconnecting loses messages in flight, as a broken connection does.
@@ -417,7 +416,9 @@
     wake();
 }
 
-void Hub::receiveAccepted(TimePoint now)
+// Each message is handled with the time at which it was taken from its socket: the process may have stood still, or worked on the
+// messages before, since the wait.
+void Hub::receiveAccepted()
 {
     zmq::message_t message;
     for (int n = 0; m_sockets->router->recv(message, zmq::recv_flags::dontwait); ++n) {
@@ -428,14 +429,14 @@
             if (message.empty())
                 (void)transmit({ peer, "" });
             else
-                m_hooks.onMessage(now, peer, message.to_string());
+                m_hooks.onMessage(monotonicNow(), peer, message.to_string());
         }
         if (m_sockets->routerUnread)
             return;
     }
 }
 
-void Hub::receiveFrom(TimePoint now, const std::string& name)
+void Hub::receiveFrom(const std::string& name)
 {
     zmq::message_t message;
     for (int n = 0; n < receiveBurst; ++n) {
@@ -443,6 +444,7 @@
         const auto found = m_sockets->dealers.find(name);
         if (found == m_sockets->dealers.end() || !found->second.socket->recv(message, zmq::recv_flags::dontwait))
             return;
+        const TimePoint now = monotonicNow();
         found->second.lastHeard = now;
         found->second.probeSentAt = std::nullopt;
         if (!message.empty())
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -115,8 +115,8 @@
     bool hasQueued();
     void receiveReadable(const std::vector<int>& descriptors);
     void probeLinks(TimePoint now);
-    void receiveAccepted(TimePoint now);
-    void receiveFrom(TimePoint now, const std::string& name);
+    void receiveAccepted();
+    void receiveFrom(const std::string& name);
     void runTasks(TimePoint now);
     bool transmit(const Outgoing&);
 
--- a/fescuegw/net/HubTest.cpp
+++ b/fescuegw/net/HubTest.cpp
@@ -152,6 +152,47 @@
     cr_assert_eq(server.m_emptyReceived + client.m_emptyReceived, 0, "probe delivered as a message");
 }
 
+// A process stands still, or works for long, while messages wait for it. What it concludes from the time of a message, such as
+// when a peer was last heard, must not be older than the message.
+Test(hub, messagesOfOneBatchAreHandledAtTheirOwnTimes)
+{
+    constexpr Duration handlingTime = std::chrono::milliseconds(30);
+    constexpr size_t messages = 3;
+    const uint16_t port = relay::freePort();
+    std::vector<TimePoint> times;
+    std::vector<TimePoint> begun;
+    std::unique_ptr<Hub> server;
+    HubHooks hooks;
+    hooks.onMessage = [&](TimePoint now, const Peer&, const std::string&) {
+        times.push_back(now);
+        begun.push_back(monotonicNow());
+        std::this_thread::sleep_for(handlingTime);
+        if (times.size() == messages)
+            server->stop();
+    };
+    hooks.onUndeliverable = [](TimePoint, const Peer&, const std::string&) {};
+    hooks.onBatchEnd = [](TimePoint) {};
+    HubOptions options;
+    options.identity = "server";
+    options.listen = loopback(port);
+    server = std::make_unique<Hub>(options, hooks);
+    cr_assert(server->start().has_value());
+    options.identity = "client";
+    options.listen = "";
+    Node client(options);
+    client.m_hub.connect("server", loopback(port));
+    client.run();
+    std::thread serving([&] { server->run(); });
+    while (times.size() < messages) {
+        client.m_hub.send({ Peer::Direction::Connected, "server" }, "question");
+        client.m_hub.send({ Peer::Direction::Connected, "server" }, "question");
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    serving.join();
+    for (size_t n = 1; n < messages; ++n)
+        cr_assert_geq((times[n] - begun[n - 1]).count(), handlingTime.count(), "message %zu", n);
+}
+
 // A list that another process wrote holds an address that cannot be connected to. The process goes on without that link.
 Test(hub, unusableAddressesAreRefused)
 {
