--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <criterion/criterion.h>
@@ -40,8 +41,10 @@
 constexpr Duration orderTimeout = std::chrono::milliseconds(80);
 constexpr Duration holdMargin = std::chrono::milliseconds(60);
 constexpr Duration resubmitDelay = std::chrono::milliseconds(1300);
-// An entry notices within this time that a caller has gone.
+// An entry that does not stand still notices within this time that a caller has gone.
 constexpr Duration maxAbandonDelay = std::chrono::milliseconds(100);
+// Longest time for which an entry stands still.
+constexpr uint64_t maxStallMs = 4000;
 
 // Time after which an order is known to be unanswered when its connection is reset.
 constexpr Duration resetDelay = std::chrono::milliseconds(1);
@@ -81,6 +84,10 @@
     bool quickRestarts = false;
     // How many restarts of its upstream an order on its way may outlive.
     uint64_t outlivedRestarts = 1;
+    // Each process of an upstream has a name of its own, and refuses orders that name another one.
+    bool newNames = false;
+    // Entries stand still, and go on with what they knew before.
+    bool stalls = false;
 };
 
 // Shares of the requests of an upstream that meet a fault, in percent.
@@ -118,6 +125,10 @@
     // Orders that another process carried out than the one for which they were sent, and those that were refused by their token.
     uint64_t ordersAtNext = 0;
     uint64_t fencedOrders = 0;
+    // Orders that were refused since they named another process.
+    uint64_t misdirectedOrders = 0;
+    // Times that an entry stood still.
+    uint64_t stalls = 0;
     uint64_t completed = 0;
     uint64_t failed = 0;
     // Of the failed jobs, those that have no task that crashes upstreams.
@@ -142,6 +153,8 @@
         adopted += other.adopted;
         ordersAtNext += other.ordersAtNext;
         fencedOrders += other.fencedOrders;
+        misdirectedOrders += other.misdirectedOrders;
+        stalls += other.stalls;
         completed += other.completed;
         failed += other.failed;
         failedHarmless += other.failedHarmless;
@@ -173,6 +186,8 @@
             after(ms(900), [this] { disturbUpstream(); });
         if (m_faults.quickRestarts)
             after(ms(800), [this] { restartQuickly(); });
+        if (m_faults.stalls)
+            after(ms(600), [this] { stallEntry(); });
         while (!m_events.empty() && m_events.top().at <= end) {
             const Event event = m_events.top();
             m_events.pop();
@@ -197,6 +212,11 @@
         // A busy entry handles its messages in batches, one for each tick.
         TimePoint busyUntil;
         std::vector<wire::UpstreamToEntry> unread;
+        // One that stands still does nothing; requests wait to be read.
+        TimePoint stalledUntil;
+        std::vector<std::function<void()>> unreadRequests;
+        // Callers that have gone and are not answered.
+        std::set<uint64_t> gone;
     };
 
     struct Run {
@@ -289,8 +309,12 @@
         JobTableHooks hooks;
         hooks.send = [this, n](const AgentId& agent, const wire::EntryToUpstream& it) { sendToAgent(n, agent, it); };
         hooks.random = [this](uint64_t bound) { return m_random() % bound; };
+        hooks.goneCallers = [&entry] { return std::vector<uint64_t>(entry.gone.begin(), entry.gone.end()); };
         entry.table = std::make_unique<JobTable>(JobTableOptions(), hooks);
         entry.unread.clear();
+        entry.stalledUntil = {};
+        entry.unreadRequests.clear();
+        entry.gone.clear();
         after(Duration(), [this, n, id = entry.identity] { tickEntry(n, id); });
         for (const auto& it : m_agents)
             introduce(*it, entry);
@@ -309,6 +333,10 @@
         Entry& entry = *m_entries[n];
         if (entry.identity != identity)
             return;
+        if (entry.stalledUntil > m_now) {
+            after(entry.stalledUntil - m_now, [this, n, identity] { tickEntry(n, identity); });
+            return;
+        }
         processEntry(entry);
         after(tickInterval, [this, n, identity] { tickEntry(n, identity); });
     }
@@ -319,6 +347,8 @@
         for (const auto& it : entry.unread)
             entry.table->onAgent(m_now, it);
         entry.unread.clear();
+        for (const auto& it : std::exchange(entry.unreadRequests, {}))
+            it();
         entry.table->tick(m_now);
         entry.table->flush(m_now);
     }
@@ -363,10 +393,23 @@
                 [this, &agent] { announceAgain(agent); });
     }
 
+    std::string instanceName(const Agent& agent) const
+    {
+        return m_faults.newNames ? agent.id.name + "-" + std::to_string(agent.bornMs) : agent.id.name;
+    }
+
+    // Whether the process that is there is the one that an order names; an order without a name is for any.
+    bool isMeantFor(const Agent& agent, const std::string& instance)
+    {
+        const bool meant = instance.empty() || instance == instanceName(agent);
+        m_findings.misdirectedOrders += meant ? 0 : 1;
+        return meant;
+    }
+
     void announce(Agent& agent)
     {
         Announcement it;
-        it.instance = agent.id.name;
+        it.instance = instanceName(agent);
         it.bornMs = agent.bornMs;
         it.sequence = agent.sequence;
         it.service = "s";
@@ -415,7 +458,7 @@
             if (link(n, id).generation != generation || m_entries[n]->identity != to)
                 return;
             m_entries[n]->unread.push_back(message);
-            if (m_entries[n]->busyUntil <= m_now)
+            if (m_entries[n]->busyUntil <= m_now && m_entries[n]->stalledUntil <= m_now)
                 processEntry(*m_entries[n]);
         });
     }
@@ -661,7 +704,7 @@
         callUpstream(
             agent, std::max(agent.trouble.undone, agent.trouble.undoneStops),
             [this, &agent, order] {
-                if (!passesFence(agent, order.fence))
+                if (!isMeantFor(agent, order.instance) || !passesFence(agent, order.fence))
                     return;
                 uint64_t& closed = agent.closed[order.task];
                 closed = std::max(closed, order.run);
@@ -708,6 +751,8 @@
 
     StartVerdict startRun(Agent& agent, const StartOrder& order, bool room)
     {
+        if (!isMeantFor(agent, order.instance))
+            return StartVerdict::OtherProcess;
         if (!passesFence(agent, order.fence))
             return StartVerdict::Fenced;
         if (order.leaseUntilMs <= clockMs(agent))
@@ -785,11 +830,11 @@
         if (undone) {
             if (m_faults.quickRestarts && chance(survivingOrders))
                 holdUp(agent, [this, &agent, order] { (void)applyHold(agent, order); });
-        } else if (applyHold(agent, order)) {
+        } else if (const auto failure = applyHold(agent, order); !failure) {
             after(agent.ended.empty() ? order.wait + upstreamDelay : upstreamDelay,
                 [this, &agent, number] { answerHold(agent, number); });
         } else if (!agent.holdUnanswered) {
-            failHold(agent, HoldFailure::Fenced);
+            failHold(agent, *failure);
             return;
         }
         after(order.wait + holdMargin, [this, &agent, number] {
@@ -801,15 +846,17 @@
         });
     }
 
-    // Returns false, without effect, if the fencing token is too low.
-    bool applyHold(Agent& agent, const HoldOrder& order)
+    // Returns why the hold is refused, without effect, or nothing.
+    std::optional<HoldFailure> applyHold(Agent& agent, const HoldOrder& order)
     {
+        if (!isMeantFor(agent, order.instance))
+            return HoldFailure::OtherProcess;
         if (!passesFence(agent, order.fence))
-            return false;
+            return HoldFailure::Fenced;
         std::erase_if(agent.ended, [&](const EndedRow& it) { return it.number <= order.acknowledged; });
         if (order.leaseUntilMs)
             renewLease(agent, *order.leaseUntilMs);
-        return true;
+        return std::nullopt;
     }
 
     void answerHold(Agent& agent, uint64_t number)
@@ -884,25 +931,42 @@
         const uint64_t exchange = job.exchange;
         m_waiting[exchange] = { id, n };
         Entry& entry = *m_entries[n];
-        entry.table->submit(
-            m_now, job.request, [this, id, n, exchange](const JobOutcome& it) { onOutcome(id, n, exchange, it); });
-        entry.table->flush(m_now);
+        const auto accept = [this, &entry, id, n, exchange, request = job.request] {
+            entry.table->submit(
+                m_now, request, [this, id, n, exchange](const JobOutcome& it) { onOutcome(id, n, exchange, it); });
+        };
+        if (entry.stalledUntil > m_now) {
+            entry.unreadRequests.push_back(accept);
+        } else {
+            accept();
+            entry.table->flush(m_now);
+        }
         // Some callers leave, or their connections are reset.
         if (chance(15))
-            after(ms(static_cast<int64_t>(below(1500))), [this, id, n, exchange] {
-                if (m_waiting.erase(exchange) == 0)
-                    return;
-                m_jobs.at(id).mayHaveRun = true;
-                after(Duration(static_cast<int64_t>(below(static_cast<uint64_t>(maxAbandonDelay.count())))), [this, n, exchange] {
-                    m_entries[n]->table->abandon(m_now, exchange);
-                    m_entries[n]->table->flush(m_now);
-                });
-                after(resubmitDelay, [this, id, n] { submit(id, (n + 1) % entryCount); });
+            after(ms(static_cast<int64_t>(below(1500))), [this, id, n, exchange] { leave(id, n, exchange); });
+        // The others leave when their patience is over.
+        if (m_faults.stalls)
+            after(job.request.patience + linkDelay, [this, id, n, exchange] { leave(id, n, exchange); });
+    }
+
+    void leave(const std::string& id, size_t n, uint64_t exchange)
+    {
+        if (m_waiting.erase(exchange) == 0)
+            return;
+        m_jobs.at(id).mayHaveRun = true;
+        if (m_faults.stalls)
+            m_entries[n]->gone.insert(exchange);
+        else
+            after(Duration(static_cast<int64_t>(below(static_cast<uint64_t>(maxAbandonDelay.count())))), [this, n, exchange] {
+                m_entries[n]->table->abandon(m_now, exchange);
+                m_entries[n]->table->flush(m_now);
             });
+        after(resubmitDelay, [this, id, n] { submit(id, (n + 1) % entryCount); });
     }
 
     void onOutcome(const std::string& id, size_t n, uint64_t exchange, const JobOutcome& outcome)
     {
+        m_entries[n]->gone.erase(exchange);
         if (m_waiting.erase(exchange) == 0)
             return;
         Job& job = m_jobs.at(id);
@@ -958,6 +1022,14 @@
         after(ms(static_cast<int64_t>(below(1500))), [this] { disturb(); });
     }
 
+    void stallEntry()
+    {
+        Entry& entry = *m_entries[below(entryCount)];
+        entry.stalledUntil = std::max(entry.stalledUntil, m_now + ms(static_cast<int64_t>(mostlyShort(maxStallMs))));
+        ++m_findings.stalls;
+        after(ms(static_cast<int64_t>(500 + below(2000))), [this] { stallEntry(); });
+    }
+
     // Begins one fault of the kinds that `m_faults` names, beside those of `disturb`.
     void disturbUpstream()
     {
@@ -1037,9 +1109,10 @@
         what, number(sum.starts), number(sum.resubmitted), number(sum.lapsed), number(sum.crashes), number(sum.crashedTasks),
         number(sum.oftenCrashedTasks), number(sum.resets), number(sum.shrunk), number(sum.completed), number(sum.failed),
         number(sum.failedHarmless));
-    std::printf("%s quick_restarts=%llu starts_at_unknown=%llu adopted=%llu orders_at_next=%llu fenced_orders=%llu\n", what,
-        number(sum.quickRestarts), number(sum.startsAtUnknown), number(sum.adopted), number(sum.ordersAtNext),
-        number(sum.fencedOrders));
+    std::printf("%s quick_restarts=%llu starts_at_unknown=%llu adopted=%llu orders_at_next=%llu fenced_orders=%llu "
+                "misdirected_orders=%llu stalls=%llu\n",
+        what, number(sum.quickRestarts), number(sum.startsAtUnknown), number(sum.adopted), number(sum.ordersAtNext),
+        number(sum.fencedOrders), number(sum.misdirectedOrders), number(sum.stalls));
     std::printf("%s overlaps=%llu over_capacity=%llu false_not_run=%llu over_crash_limit=%llu\n", what, number(sum.overlaps),
         number(sum.overCapacity), number(sum.falseNotRun), number(sum.overCrashLimit));
     return sum;
@@ -1120,6 +1193,47 @@
     cr_assert_gt(sum.adopted, 10U);
 }
 
+// Entries stand still while their callers leave and send their jobs again elsewhere.
+Test(RunBounds, noRunForACallerThatLeftWhileItsEntryStoodStill, .init = initialiseLogging)
+{
+    UpstreamFaults faults;
+    faults.stalls = true;
+    const Findings sum = runSeeds("stalls", 40, faults);
+    cr_assert_gt(sum.stalls, 400U);
+}
+
+// The same among all faults.
+Test(RunBounds, noRunForACallerThatLeftAmongAllFaults, .init = initialiseLogging)
+{
+    UpstreamFaults faults { 4, true, true, true };
+    faults.stalls = true;
+    faults.newNames = true;
+    const Findings sum = runSeeds("all-stalls", 40, faults);
+    cr_assert_gt(sum.stalls, 400U);
+}
+
+// Orders outlive any number of restarts, and each process of an upstream has a name of its own.
+Test(RunBounds, noOrderIsCarriedOutByAnotherProcessThanItNames, .init = initialiseLogging)
+{
+    UpstreamFaults faults;
+    faults.quickRestarts = true;
+    faults.outlivedRestarts = 100;
+    faults.newNames = true;
+    const Findings sum = runSeeds("named-orders", 40, faults);
+    cr_expect_eq(sum.startsAtUnknown, 0U);
+    cr_assert_gt(sum.misdirectedOrders, 100U);
+}
+
+// The same among all faults.
+Test(RunBounds, noOrderIsCarriedOutByAnotherProcessAmongAllFaults, .init = initialiseLogging)
+{
+    UpstreamFaults faults { 4, true, true, true };
+    faults.outlivedRestarts = 100;
+    faults.newNames = true;
+    const Findings sum = runSeeds("all-named", 40, faults);
+    cr_assert_gt(sum.misdirectedOrders, 100U);
+}
+
 // An order is carried out after two restarts of its upstream, by a process that has seen no later order of the agent.
 Test(LateOrders, noRunByAnOrderThatOutlivesTwoRestarts, .init = initialiseLogging)
 {
