A listing by a process that has been replaced does not let starts go on

A hold that the named process had answered could arrive after the next process had refused a start by name. Its listing then counted as a fresh one, and starts went out again, without a name. New with named orders, found by reading; the new case of arbiter_test fails without the change.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -454,7 +454,9 @@
 
 void RunTable::onListing(TimePoint now, TimePoint sent, const Listing& listing)
 {
-    if (listing.bornMs < m_bornMs)
+    // The hold was answered by the process that it names, before that was replaced.
+    const bool outdated = std::exchange(m_holdNamed, false) && m_instanceOutdated;
+    if (listing.bornMs < m_bornMs || outdated)
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
@@ -557,6 +559,7 @@
         loseUpstream(now, "refused");
     if (failure == HoldFailure::OtherProcess)
         onOtherProcess(now, m_holdProcess);
+    m_holdNamed = false;
     m_holdFailed = true;
     m_holdFailedAt = now;
     tick(now);
@@ -567,6 +570,7 @@
     HoldOrder hold;
     hold.fence = m_fence;
     hold.instance = knownInstance();
+    m_holdNamed = !hold.instance.empty();
     m_holdProcess = m_bornMs;
     // After a failed hold the next process may be there, whose ends have the same numbers.
     hold.acknowledged = m_holdFailed || m_instanceOutdated ? 0 : m_acknowledged;
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -210,6 +210,8 @@
     bool m_instanceOutdated = false;
     // The process for which the hold in flight is meant.
     uint64_t m_holdProcess = 0;
+    // It names that process.
+    bool m_holdNamed = false;
     UpstreamClock m_clock;
     UpstreamHealth m_health;
     Slowness m_slowness;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1075,6 +1075,16 @@
     cr_assert(agent.table.accepting(agent.now));
 }
 
+// The process before has answered a hold that arrives after the next one has refused a start.
+Test(RunTable, aListingOfAReplacedProcessDoesNotLetStartsGoOn)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    agent.table.onListing(agent.now, agent.now, Listing { 1, agent.clock(), {}, {} });
+    cr_assert(!agent.table.accepting(agent.now));
+}
+
 // The refusal of an order for the process before says nothing of the name of the next one.
 Test(RunTable, aLateRefusalDoesNotOutdateTheNameOfTheNextProcess)
 {
