--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -211,8 +211,11 @@
         }
         // After this process has stood still, the request may be older than its caller's patience, and the caller may have sent
         // it again elsewhere.
-        if (options.tracksCallers && isGone(descriptorOf(exchange->connection)))
+        if (options.tracksCallers && isGone(descriptorOf(exchange->connection))) {
+            if (options.onDropped)
+                options.onDropped(exchange->request);
             return MHD_NO;
+        }
         MHD_suspend_connection(exchange->connection);
         const uint64_t number = ++lastExchange;
         exchange->request.exchange = number;
--- a/fescuegw/http/Server.h
+++ b/fescuegw/http/Server.h
@@ -60,6 +60,8 @@
     size_t bodyLimit = 4U << 20U;
     // Whether `Server::goneCallers` is used. A request whose caller has gone when it has been read does not reach the handler.
     bool tracksCallers = false;
+    // Called on a thread of the server with such a request.
+    std::function<void(const Request&)> onDropped;
 };
 
 // HTTP/1.1 server with a fixed number of threads. The handler runs on one of them and must not block; the response may be sent
