A start does not renew the runs of an entry whose lease is over

Cause: leases of entries were enforced in ticks only, and an upstream has one lease for all its runs. A message of another entry that was handled between the end of an entry's lease and the next tick, after a stand-still of the agent, still started its task, which renewed the lease of the runs that should end. With a stop without effect such a run lasts 484 ms beyond that start, and not beyond the 700 ms after the last word of its entry: later than the 1,250 ms after which the entry counts the attempt as ended and starts the task elsewhere. The same held for a repeated start after a reply.

Change: leases of entries are enforced before starts are sent.

Shown: aStartDoesNotRenewTheRunsOfAnEntryWhoseLeaseIsOver failed before ("the start would renew the lease until 1,450 ms after the last word of e1"); with the change it passes, as do the other cases of arbiter_test.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -158,6 +158,9 @@
     const TimePoint until = fromMicros(message.seen_clock_us()) + m_options.entryLease;
     TimePoint& lease = m_entryLeases[message.entry()];
     lease = std::max(lease, until);
+    // A start renews the lease of all runs, so those of entries whose lease has ended since the last tick are stopped first.
+    enforceEntryLeases(now);
+    updateRenewal(now);
     for (const uint64_t it : message.declined_grants())
         m_grants.release(it);
     m_grants.onDemand(now, message.entry(), message.demand());
@@ -341,6 +344,8 @@
         = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease));
     if (run.confirmed)
         return;
+    enforceEntryLeases(now);
+    updateRenewal(now);
     switch (verdict) {
     case StartVerdict::Accepted:
         confirm(now, run);
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1101,3 +1101,22 @@
     agent.announce(1, 3, false, "i-3");
     cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-3");
 }
+
+// The lease of an entry may end between two ticks. A start of another entry renewed the lease of its runs once more, since there
+// is one for the whole upstream.
+Test(RunTable, aStartDoesNotRenewTheRunsOfAnEntryWhoseLeaseIsOver)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    for (int n = 0; n < 6; ++n) {
+        agent.advance(ms(115));
+        agent.list({ row("job", 1) }, {});
+    }
+    cr_assert(agent.stops.empty());
+    agent.advance(ms(310));
+    agent.start("e2", "other");
+    cr_assert_eq(agent.starts.size(), 1, "the start would renew the lease until 1,450 ms after the last word of e1");
+    cr_assert_eq(agent.stops.size(), 1);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+}
