A listing that was asked for before an order met another process does not end the refusal

Cause: a start that meets another process than the known one ends starts until the next listing. Holds and starts have threads and connections of their own, so the next listing that is handled may be one that the replaced process gave before. It made the agent accept again, without a name and with leases by the clock of the process that has gone: what the name is to prevent. And while the announced name stayed outdated, no end was acknowledged, also after a listing; an upstream lists 500 ends at most, and runs that ended after them would count as absent.

Change: after such a refusal only a listing that was asked for later tells the clock and who is there. An earlier one settles the runs that it shows. Ends are acknowledged again from the first such listing on, as after a failed hold.

Shown: aListingThatWasAskedForBeforeARefusalDoesNotEndIt and anUpstreamThatIsUsedWithoutANameHasItsEndsAcknowledged failed before, at the assertions on accepting and on the cursor; with the change they pass, as do the other cases of arbiter_test.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -463,12 +463,15 @@
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
-    m_holdFailed = false;
-    m_possiblyCrashed.clear();
-    m_clock.update(now, listing.clockMs);
-    if (!m_lastListingAt)
-        Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
-    m_lastListingAt = now;
+    // A listing that was asked for before the process was found to be replaced tells only what became of its runs.
+    if (!m_instanceOutdated || sent >= m_instanceOutdatedAt) {
+        m_holdFailed = false;
+        m_possiblyCrashed.clear();
+        m_clock.update(now, listing.clockMs);
+        if (!m_lastListingAt)
+            Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
+        m_lastListingAt = now;
+    }
     for (const auto& it : listing.ended)
         applyEnd(now, it);
     applyRunning(now, sent, listing);
@@ -574,7 +577,7 @@
     hold.instance = knownInstance();
     m_holdProcess = m_bornMs;
     // After a failed hold the next process may be there, whose ends have the same numbers.
-    hold.acknowledged = m_holdFailed || m_instanceOutdated ? 0 : m_acknowledged;
+    hold.acknowledged = m_holdFailed ? 0 : m_acknowledged;
     const bool busy = running() > 0;
     // A run that ended keeps its resources, and its caller waiting, until the next listing, so lost answers shorten the wait.
     const bool lossy = m_holdFailedAt && now - *m_holdFailedAt < m_options.lossyPeriod;
@@ -703,6 +706,8 @@
         return;
     loseUpstream(now, "replaced");
     m_instanceOutdated = true;
+    m_instanceOutdatedAt = now;
+    m_holdFailed = true;
     m_clock.reset();
 }
 
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -208,6 +208,7 @@
     uint64_t m_bornMs = 0;
     // Another process than the announced one has refused an order, so orders name none until the next announcement.
     bool m_instanceOutdated = false;
+    TimePoint m_instanceOutdatedAt;
     // The process for which the hold in flight is meant.
     uint64_t m_holdProcess = 0;
     UpstreamClock m_clock;
@@ -228,7 +229,7 @@
     // Leases are not renewed, since a run that should have ended is still listed.
     bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
-    // There has been no listing since a hold failed.
+    // There has been no listing since a hold failed, or an order met another process.
     bool m_holdFailed = false;
     std::optional<TimePoint> m_holdFailedAt;
     // When the last lease that this agent has given is over: at the known process, and at any.
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1120,3 +1120,35 @@
     cr_assert_eq(agent.stops.size(), 1);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
 }
+
+// A hold was answered by the process that has been replaced, and its answer was handled after the refusal. Starts were sent
+// again, without a name and by the clock of that process.
+Test(RunTable, aListingThatWasAskedForBeforeARefusalDoesNotEndIt)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.list({ row("job", 1) }, {});
+    const TimePoint sent = agent.now;
+    agent.start("e1", "next");
+    agent.advance(ms(5));
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    agent.advance(ms(1));
+    agent.table.onListing(agent.now, sent, Listing { 1, agent.clock(), {}, { ended(1, "job", 1, RunEnd::Done) } });
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE, "it still says what became of its runs");
+    cr_assert(!agent.table.accepting(agent.now));
+    agent.start("e1", "third");
+    cr_assert_eq(agent.starts.size(), 2);
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+}
+
+// Ends were acknowledged no more, and an upstream lists 500 ends at most.
+Test(RunTable, anUpstreamThatIsUsedWithoutANameHasItsEndsAcknowledged)
+{
+    Agent agent;
+    agent.table.onHoldFailure(agent.now, HoldFailure::OtherProcess);
+    agent.start("e1", "job");
+    agent.list({}, { ended(1, "earlier", 1, RunEnd::Done) });
+    cr_assert_eq(agent.hold.instance, "");
+    cr_assert_eq(agent.hold.acknowledged, 1);
+}
