A listing counts as no newer than its answer can be

Cause: nothing is started when the last listing is older than 400 ms, but its age was counted from when it was handled. After an agent had stood still between the upstream's answer and its handling, a listing of before counted as new, and starts were accepted on what it said of the process, its capacity and its runs.

Change: the age is counted from the latest time of an answer: the hold's sending, its wait and the time that an order takes at most.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -470,7 +470,8 @@
         m_clock.update(now, listing.clockMs);
         if (!m_lastListingAt)
             Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
-        m_lastListingAt = now;
+        // The process may have stood still since the answer.
+        m_lastListingAt = std::min(now, sent + m_holdWait + maxOrderTime);
     }
     for (const auto& it : listing.ended)
         applyEnd(now, it);
@@ -585,6 +586,7 @@
     // The first listing is needed at once.
     if (!m_lastListingAt)
         hold.wait = Duration();
+    m_holdWait = hold.wait;
     // The lease is not renewed without own runs, so that orphaned runs expire.
     if (m_clock.known() && busy && !m_renewalWithheld) {
         hold.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -211,6 +211,8 @@
     TimePoint m_instanceOutdatedAt;
     // The process for which the hold in flight is meant.
     uint64_t m_holdProcess = 0;
+    // Its wait.
+    Duration m_holdWait {};
     UpstreamClock m_clock;
     UpstreamHealth m_health;
     Slowness m_slowness;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1152,3 +1152,18 @@
     cr_assert_eq(agent.hold.instance, "");
     cr_assert_eq(agent.hold.acknowledged, 1);
 }
+
+// The agent stood still between the upstream's answer and its handling.
+Test(RunTable, aListingIsAsOldAsItsAnswerCanBe)
+{
+    Agent agent;
+    const TimePoint sent = agent.now;
+    const uint64_t clock = agent.clock();
+    agent.advance(ms(3000));
+    agent.table.onListing(agent.now, sent, Listing { 1, clock, {}, {} });
+    cr_assert(!agent.table.accepting(agent.now));
+    agent.start("e1", "job");
+    cr_assert(agent.starts.empty());
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+}
