Leases by a clock that was read long ago are counted longer

Cause: what an upstream's lease comes to is counted with the drift of its clock within one second since the last reading. Holds go on while they have no answers, though, and carry leases by a clock that was read seconds ago: at 2% such a lease lasts 20 ms longer for each further second. A run whose stop has no effect was then reported as lost while it was there, and its entry started the task elsewhere.

Change: the drift since the last reading beyond that second is added to the end of each lease.

Shown: leasesByAClockThatWasReadLongAgoLapseLater failed before (lost 40 ms before its lease was over, after 3.5 s without an answer); with the change it passes, as do the other cases of arbiter_test.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -625,7 +625,8 @@
 
 void RunTable::onLeaseGiven(TimePoint now)
 {
-    m_leasesExpireAt = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease));
+    m_leasesExpireAt
+        = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease) + m_clock.unreadDrift(now));
     m_longestLeasesExpireAt
         = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now + maxOrderTime, m_options.maxUpstreamLease));
 }
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1167,3 +1167,35 @@
     agent.list({}, {});
     cr_assert(agent.table.accepting(agent.now));
 }
+
+// The upstream's clock runs 2% slow and is read with listings only, so leases that are given without one last longer than meant.
+Test(RunTable, leasesByAClockThatWasReadLongAgoLapseLater)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.list({ row("job", 1) }, {});
+    const TimePoint readAt = agent.now;
+    const uint64_t reading = agent.clock();
+    const auto upstreamClock = [&] { return reading + static_cast<uint64_t>(toMs(agent.now - readAt)) * 98 / 100; };
+    uint64_t leaseUntil = 0;
+    const auto failHold = [&] {
+        agent.advance(ms(70));
+        agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+        leaseUntil = std::max(leaseUntil, agent.table.nextHold(agent.now).leaseUntilMs.value_or(0));
+    };
+    while (agent.now - readAt < ms(3000)) {
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        failHold();
+    }
+    // A stop without effect ends the renewal.
+    agent.stop("e1", "job");
+    while (upstreamClock() < leaseUntil) {
+        cr_assert_eq(agent.table.running(), 1, "%d ms before its lease is over", static_cast<int>(leaseUntil - upstreamClock()));
+        failHold();
+    }
+    for (int n = 0; n < 10; ++n)
+        failHold();
+    cr_assert_eq(agent.table.running(), 0);
+    cr_assert_eq(agent.lastReason(), "lease_lapsed");
+}
--- a/fescuegw/arbiter/UpstreamClock.h
+++ b/fescuegw/arbiter/UpstreamClock.h
@@ -1,6 +1,7 @@
 // Estimates the clock of an upstream, in which run leases are expressed.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -32,6 +33,13 @@
         return *m_reading + static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_readAt).count());
     }
 
+    // Returns how far `at` may be ahead beyond the margin of `latestLeaseExpiry`, since there was no reading for long.
+    Duration unreadDrift(TimePoint now) const
+    {
+        const Duration unread = m_reading ? now - m_readAt - maxReadingAge : Duration();
+        return std::max(unread, Duration()) * maxDriftPercent / 100;
+    }
+
     // Returns the time after which a lease sent at `sent` until `at(sent) + lease` is certain to have expired, for any drift of
     // the upstream's clock within `maxDriftPercent`.
     static TimePoint latestLeaseExpiry(TimePoint sent, Duration lease)
