--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -158,6 +158,9 @@
     const TimePoint until = fromMicros(message.seen_clock_us()) + m_options.entryLease;
     TimePoint& lease = m_entryLeases[message.entry()];
     lease = std::max(lease, until);
+    // A start renews the lease of all runs, so those of entries whose lease has ended since the last tick are stopped first.
+    enforceEntryLeases(now);
+    updateRenewal(now);
     for (const uint64_t it : message.declined_grants())
         m_grants.release(it);
     m_grants.onDemand(now, message.entry(), message.demand());
@@ -341,6 +344,8 @@
         = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease));
     if (run.confirmed)
         return;
+    enforceEntryLeases(now);
+    updateRenewal(now);
     switch (verdict) {
     case StartVerdict::Accepted:
         confirm(now, run);
@@ -454,18 +459,20 @@
 
 void RunTable::onListing(TimePoint now, TimePoint sent, const Listing& listing)
 {
-    // The hold was answered by the process that it names, before that was replaced.
-    const bool outdated = std::exchange(m_holdNamed, false) && m_instanceOutdated;
-    if (listing.bornMs < m_bornMs || outdated)
+    if (listing.bornMs < m_bornMs)
         return;
     if (listing.bornMs > m_bornMs)
         beginIncarnation(now, listing.bornMs);
-    m_holdFailed = false;
-    m_possiblyCrashed.clear();
-    m_clock.update(now, listing.clockMs);
-    if (!m_lastListingAt)
-        Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
-    m_lastListingAt = now;
+    // A listing that was asked for before the process was found to be replaced tells only what became of its runs.
+    if (!m_instanceOutdated || sent >= m_instanceOutdatedAt) {
+        m_holdFailed = false;
+        m_possiblyCrashed.clear();
+        m_clock.update(now, listing.clockMs);
+        if (!m_lastListingAt)
+            Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
+        // The process may have stood still since the answer.
+        m_lastListingAt = std::min(now, sent + m_holdWait + maxOrderTime);
+    }
     for (const auto& it : listing.ended)
         applyEnd(now, it);
     applyRunning(now, sent, listing);
@@ -559,7 +566,6 @@
         loseUpstream(now, "refused");
     if (failure == HoldFailure::OtherProcess)
         onOtherProcess(now, m_holdProcess);
-    m_holdNamed = false;
     m_holdFailed = true;
     m_holdFailedAt = now;
     tick(now);
@@ -570,10 +576,9 @@
     HoldOrder hold;
     hold.fence = m_fence;
     hold.instance = knownInstance();
-    m_holdNamed = !hold.instance.empty();
     m_holdProcess = m_bornMs;
     // After a failed hold the next process may be there, whose ends have the same numbers.
-    hold.acknowledged = m_holdFailed || m_instanceOutdated ? 0 : m_acknowledged;
+    hold.acknowledged = m_holdFailed ? 0 : m_acknowledged;
     const bool busy = running() > 0;
     // A run that ended keeps its resources, and its caller waiting, until the next listing, so lost answers shorten the wait.
     const bool lossy = m_holdFailedAt && now - *m_holdFailedAt < m_options.lossyPeriod;
@@ -581,6 +586,7 @@
     // The first listing is needed at once.
     if (!m_lastListingAt)
         hold.wait = Duration();
+    m_holdWait = hold.wait;
     // The lease is not renewed without own runs, so that orphaned runs expire.
     if (m_clock.known() && busy && !m_renewalWithheld) {
         hold.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
@@ -619,7 +625,8 @@
 
 void RunTable::onLeaseGiven(TimePoint now)
 {
-    m_leasesExpireAt = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease));
+    m_leasesExpireAt
+        = std::max(m_leasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease) + m_clock.unreadDrift(now));
     m_longestLeasesExpireAt
         = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now + maxOrderTime, m_options.maxUpstreamLease));
 }
@@ -702,6 +709,8 @@
         return;
     loseUpstream(now, "replaced");
     m_instanceOutdated = true;
+    m_instanceOutdatedAt = now;
+    m_holdFailed = true;
     m_clock.reset();
 }
 
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1080,8 +1080,10 @@
 {
     Agent agent;
     agent.start("e1", "job");
+    const TimePoint sent = agent.now;
+    agent.advance(ms(1));
     agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
-    agent.table.onListing(agent.now, agent.now, Listing { 1, agent.clock(), {}, {} });
+    agent.table.onListing(agent.now, sent, Listing { 1, agent.clock(), {}, {} });
     cr_assert(!agent.table.accepting(agent.now));
 }
 
@@ -1111,3 +1113,101 @@
     agent.announce(1, 3, false, "i-3");
     cr_assert_eq(agent.table.nextHold(agent.now).instance, "i-3");
 }
+
+// The lease of an entry may end between two ticks. A start of another entry renewed the lease of its runs once more, since there
+// is one for the whole upstream.
+Test(RunTable, aStartDoesNotRenewTheRunsOfAnEntryWhoseLeaseIsOver)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    for (int n = 0; n < 6; ++n) {
+        agent.advance(ms(115));
+        agent.list({ row("job", 1) }, {});
+    }
+    cr_assert(agent.stops.empty());
+    agent.advance(ms(310));
+    agent.start("e2", "other");
+    cr_assert_eq(agent.starts.size(), 1, "the start would renew the lease until 1,450 ms after the last word of e1");
+    cr_assert_eq(agent.stops.size(), 1);
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+}
+
+// A hold was answered by the process that has been replaced, and its answer was handled after the refusal. Starts were sent
+// again, without a name and by the clock of that process.
+Test(RunTable, aListingThatWasAskedForBeforeARefusalDoesNotEndIt)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.list({ row("job", 1) }, {});
+    const TimePoint sent = agent.now;
+    agent.start("e1", "next");
+    agent.advance(ms(5));
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::OtherProcess);
+    agent.advance(ms(1));
+    agent.table.onListing(agent.now, sent, Listing { 1, agent.clock(), {}, { ended(1, "job", 1, RunEnd::Done) } });
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_DONE, "it still says what became of its runs");
+    cr_assert(!agent.table.accepting(agent.now));
+    agent.start("e1", "third");
+    cr_assert_eq(agent.starts.size(), 2);
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+}
+
+// Ends were acknowledged no more, and an upstream lists 500 ends at most.
+Test(RunTable, anUpstreamThatIsUsedWithoutANameHasItsEndsAcknowledged)
+{
+    Agent agent;
+    agent.table.onHoldFailure(agent.now, HoldFailure::OtherProcess);
+    agent.start("e1", "job");
+    agent.list({}, { ended(1, "earlier", 1, RunEnd::Done) });
+    cr_assert_eq(agent.hold.instance, "");
+    cr_assert_eq(agent.hold.acknowledged, 1);
+}
+
+// The agent stood still between the upstream's answer and its handling.
+Test(RunTable, aListingIsAsOldAsItsAnswerCanBe)
+{
+    Agent agent;
+    const TimePoint sent = agent.now;
+    const uint64_t clock = agent.clock();
+    agent.advance(ms(3000));
+    agent.table.onListing(agent.now, sent, Listing { 1, clock, {}, {} });
+    cr_assert(!agent.table.accepting(agent.now));
+    agent.start("e1", "job");
+    cr_assert(agent.starts.empty());
+    agent.list({}, {});
+    cr_assert(agent.table.accepting(agent.now));
+}
+
+// The upstream's clock runs 2% slow and is read with listings only, so leases that are given without one last longer than meant.
+Test(RunTable, leasesByAClockThatWasReadLongAgoLapseLater)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.list({ row("job", 1) }, {});
+    const TimePoint readAt = agent.now;
+    const uint64_t reading = agent.clock();
+    const auto upstreamClock = [&] { return reading + static_cast<uint64_t>(toMs(agent.now - readAt)) * 98 / 100; };
+    uint64_t leaseUntil = 0;
+    const auto failHold = [&] {
+        agent.advance(ms(70));
+        agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+        leaseUntil = std::max(leaseUntil, agent.table.nextHold(agent.now).leaseUntilMs.value_or(0));
+    };
+    while (agent.now - readAt < ms(3000)) {
+        agent.table.onEntry(agent.now, agent.message("e1"));
+        failHold();
+    }
+    // A stop without effect ends the renewal.
+    agent.stop("e1", "job");
+    while (upstreamClock() < leaseUntil) {
+        cr_assert_eq(agent.table.running(), 1, "%d ms before its lease is over", static_cast<int>(leaseUntil - upstreamClock()));
+        failHold();
+    }
+    for (int n = 0; n < 10; ++n)
+        failHold();
+    cr_assert_eq(agent.table.running(), 0);
+    cr_assert_eq(agent.lastReason(), "lease_lapsed");
+}
