--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -23,6 +23,9 @@
     // Entries repeat stops until they have the final report of the attempt. This covers its way there and several repeats of it.
     constexpr Duration settledRetention = std::chrono::seconds(2);
 
+    // Shortest lease of a start. Exceeds the time until the next hold, which renews it.
+    constexpr Duration minStartLease = std::chrono::milliseconds(200);
+
     // An order without an answer after this time has been carried out, or is late.
     constexpr Duration maxOrderTime = std::chrono::milliseconds(100);
 
@@ -158,9 +161,6 @@
     const TimePoint until = fromMicros(message.seen_clock_us()) + m_options.entryLease;
     TimePoint& lease = m_entryLeases[message.entry()];
     lease = std::max(lease, until);
-    // A start renews the lease of all runs, so those of entries whose lease has ended since the last tick are stopped first.
-    enforceEntryLeases(now);
-    updateRenewal(now);
     for (const uint64_t it : message.declined_grants())
         m_grants.release(it);
     m_grants.onDemand(now, message.entry(), message.demand());
@@ -217,6 +217,8 @@
         return "entry_lease_over";
     if (now > run.startBy)
         return "too_late";
+    if (startLease(now) < minStartLease)
+        return "leases_ending";
     return run.need.fitsInto(free()) ? "" : "no_room";
 }
 
@@ -270,20 +272,33 @@
     return last.first;
 }
 
+// A start renews the lease of all runs. Those of an entry that has gone silent end with the next tick, unless a message of it
+// waits to be handled; until then, no start takes the lease beyond what the entry's own lease allows.
+Duration RunTable::startLease(TimePoint now) const
+{
+    Duration lease = m_options.upstreamLease;
+    for (const auto& it : m_runs) {
+        const auto entryLease = m_entryLeases.find(it.second.entry);
+        if (entryLease != m_entryLeases.end())
+            lease = std::min(lease, entryLease->second + m_options.upstreamLease - now);
+    }
+    return lease;
+}
+
 void RunTable::sendStart(TimePoint now, uint64_t serial, Run& run)
 {
+    const Duration lease = startLease(now);
     run.state = State::Starting;
     run.sentAt = now;
     run.fence = m_fence;
     run.process = m_bornMs;
     ++run.sendCount;
     ++run.sendsInFlight;
-    run.leaseUntilMs = m_clock.at(now) + toMs(m_options.upstreamLease);
-    run.leaseOverAt = UpstreamClock::latestLeaseExpiry(now, m_options.upstreamLease);
+    run.leaseUntilMs = m_clock.at(now) + toMs(lease);
+    run.leaseOverAt = UpstreamClock::latestLeaseExpiry(now, lease) + m_clock.unreadDrift(now);
     onLeaseGiven(now);
     m_hooks.start(serial,
-        StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence, now + m_options.upstreamLease,
-            knownInstance() });
+        StartOrder { run.task, run.run, run.request.specification(), run.leaseUntilMs, m_fence, now + lease, knownInstance() });
 }
 
 void RunTable::beginStop(TimePoint now, Run& run, const std::string& reason, Duration grace)
@@ -344,8 +359,6 @@
         = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease));
     if (run.confirmed)
         return;
-    enforceEntryLeases(now);
-    updateRenewal(now);
     switch (verdict) {
     case StartVerdict::Accepted:
         confirm(now, run);
@@ -391,7 +404,8 @@
 // A start that may be with another process than the known one is not sent to that one as well.
 bool RunTable::mayResend(TimePoint now, const Run& run) const
 {
-    return run.state == State::Starting && !run.processUnknown && run.sendCount <= m_options.maxStartRetries && accepting(now);
+    return run.state == State::Starting && !run.processUnknown && run.sendCount <= m_options.maxStartRetries && accepting(now)
+        && startLease(now) >= minStartLease;
 }
 
 // For a send of a start that the upstream has refused.
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -191,6 +191,7 @@
     bool mayResend(TimePoint now, const Run&) const;
     void retryOrGiveUp(TimePoint now, Runs::iterator, const std::string& reason);
     void giveUpStart(TimePoint now, Runs::iterator, const std::string& reason);
+    Duration startLease(TimePoint now) const;
     void onLeaseGiven(TimePoint now);
     void expireUpstreamLeases(TimePoint now);
     void enforceEntryLeases(TimePoint now);
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1129,8 +1129,26 @@
     agent.advance(ms(310));
     agent.start("e2", "other");
     cr_assert_eq(agent.starts.size(), 1, "the start would renew the lease until 1,450 ms after the last word of e1");
-    cr_assert_eq(agent.stops.size(), 1);
     cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.stops.size(), 1);
+}
+
+// The lease of an entry is over by less, and a message of it may wait to be handled: the start gets what is left.
+Test(RunTable, aStartLeavesTheRunsOfASilentEntryTheirBound)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    const uint64_t lastWord = agent.clock();
+    for (int n = 0; n < 6; ++n) {
+        agent.advance(ms(115));
+        agent.list({ row("job", 1) }, {});
+    }
+    agent.advance(ms(110));
+    agent.start("e2", "other");
+    cr_assert_eq(agent.starts.size(), 2);
+    cr_assert_leq(agent.starts.back().second.leaseUntilMs, lastWord + 700 + 450);
 }
 
 // A hold was answered by the process that has been replaced, and its answer was handled after the refusal. Starts were sent
