--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -32,8 +32,8 @@
     m_callerCheckDue = now + m_options.callerCheckInterval;
     const auto gone = m_hooks.goneCallers();
     m_goneCallers = { gone.begin(), gone.end() };
-    for (const uint64_t it : gone)
-        abandon(now, it);
+    if (!m_goneCallers.empty())
+        abandon(now, m_goneCallers);
 }
 
 void JobTable::submit(TimePoint now, JobRequest request, JobResponder respond)
@@ -224,22 +224,22 @@
     return true;
 }
 
-void JobTable::abandon(TimePoint now, uint64_t exchange)
+void JobTable::abandon(TimePoint now, uint64_t exchange) { abandon(now, std::set<uint64_t> { exchange }); }
+
+void JobTable::abandon(TimePoint now, const std::set<uint64_t>& exchanges)
 {
     for (auto& it : m_jobs) {
         Job& job = it.second;
-        const auto caller = std::find_if(job.callers.begin(), job.callers.end(),
-            [exchange](const Caller& candidate) { return candidate.exchange == exchange; });
-        if (caller == job.callers.end())
+        const auto gone = std::stable_partition(job.callers.begin(), job.callers.end(),
+            [&exchanges](const Caller& candidate) { return !exchanges.contains(candidate.exchange); });
+        const std::vector<Caller> left(gone, job.callers.end());
+        job.callers.erase(gone, job.callers.end());
+        for (const auto& caller : left)
+            caller.respond({ JobOutcome::Kind::Abandoned, "caller_gone", 0 });
+        if (left.empty() || !job.callers.empty())
             continue;
-        const JobResponder respond = std::move(caller->respond);
-        job.callers.erase(caller);
-        respond({ JobOutcome::Kind::Abandoned, "caller_gone", 0 });
-        if (job.callers.empty()) {
-            answer(now, job, { JobOutcome::Kind::Abandoned, "caller_gone", 0 });
-            stopAttempts(now, job);
-        }
-        return;
+        answer(now, job, { JobOutcome::Kind::Abandoned, "caller_gone", 0 });
+        stopAttempts(now, job);
     }
 }
 
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -186,6 +186,7 @@
     using Jobs = std::map<std::string, Job>;
 
     void checkCallers(TimePoint now);
+    void abandon(TimePoint now, const std::set<uint64_t>& exchanges);
     std::string refusalReason(TimePoint now, const Job&) const;
     bool isReady(const Job&, size_t step) const;
     void enqueueReady(TimePoint now, Job&);
