Soak: a series of entries that stand still while their callers leave

Nothing is started for a caller that left while its entry stood still; the soak paused entries, but seldom, and its callers stayed for 2.5 s. The promises are the existing ones. Other options keep their plans (faultPlan/seedsThatFailedOnceKeepTheirPlans).

--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -33,6 +33,9 @@
     constexpr uint32_t minLengthMs = 50;
     constexpr uint32_t maxLengthMs = 3500;
     constexpr uint32_t maxGapMs = 1500;
+    // Entries stand still for less and for more than callers wait before they send a job again.
+    constexpr uint32_t minStallMs = 100;
+    constexpr uint32_t maxStallMs = 4000;
     constexpr uint32_t maxRepeats = 4;
     // Percentage of series whose faults hit all targets of a type at once.
     constexpr uint32_t allTargetsPercent = 12;
@@ -108,6 +111,15 @@
             return fault;
         }
 
+        Fault nextStall()
+        {
+            Fault fault;
+            fault.kind = FaultKind::Pause;
+            fault.index = below(count(fault.target));
+            fault.length = between(minStallMs, maxStallMs);
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -182,12 +194,13 @@
 {
     FaultGenerator generator(seed, size);
     std::vector<Fault> plan;
-    const auto lastMs = static_cast<uint32_t>(toMs(options.length) - maxLengthMs);
+    const auto lastMs = static_cast<uint32_t>(toMs(options.length) - (options.stalls ? maxStallMs : maxLengthMs));
     for (uint32_t n = 0; n < options.series; ++n) {
-        Fault fault = options.quickRestarts ? generator.nextQuickRestartsFault()
-            : options.crashes               ? generator.nextCrashesFault()
-            : options.runBounds             ? generator.nextRunBoundFault()
-                                            : generator.nextFault();
+        Fault fault = options.stalls ? generator.nextStall()
+            : options.quickRestarts  ? generator.nextQuickRestartsFault()
+            : options.crashes        ? generator.nextCrashesFault()
+            : options.runBounds      ? generator.nextRunBoundFault()
+                                     : generator.nextFault();
         fault.at = options.calm + generator.between(0, lastMs - static_cast<uint32_t>(toMs(options.calm)));
         const bool allTargets = generator.below(100) < allTargetsPercent && fault.kind != FaultKind::WipeDisk;
         const uint32_t repeats = fault.kind == FaultKind::WipeDisk ? 1 : 1 + generator.below(maxRepeats);
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -96,6 +96,8 @@
     // Draws crashes of upstreams that are back within half a second, beside refused connections, late orders and the link faults
     // of a run-bounds plan.
     bool quickRestarts = false;
+    // Draws only entries that stand still, for 0.1 to 4 s.
+    bool stalls = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -121,6 +121,28 @@
     cr_assert_gt(kinds.at(static_cast<size_t>(FaultKind::Crash)), others);
 }
 
+Test(faultPlan, aStallsPlanHasEntriesThatStandStillAtOneTime)
+{
+    PlanOptions options;
+    options.stalls = true;
+    size_t longer = 0;
+    size_t overlaps = 0;
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        const auto plan = drawPlan(seed, {}, options);
+        for (const auto& it : plan) {
+            cr_assert(it.kind == FaultKind::Pause && it.target == Target::Entry);
+            cr_assert(it.at >= options.calm && it.at + it.length <= options.length);
+            cr_assert(it.length >= std::chrono::milliseconds(100) && it.length <= std::chrono::milliseconds(4000));
+            longer += it.length > std::chrono::milliseconds(1300) ? 1 : 0;
+            overlaps += static_cast<size_t>(std::count_if(plan.begin(), plan.end(), [&](const Fault& other) {
+                return other.index != it.index && other.at < it.at && it.at < other.at + other.length;
+            }));
+        }
+    }
+    cr_assert_gt(longer, 300U);
+    cr_assert_gt(overlaps, 300U);
+}
+
 Test(faultPlan, losesADiskOnlyAwayFromOtherReplicaFaults)
 {
     const PlanOptions options;
--- a/fescuegw/soak/Ledger.cpp
+++ b/fescuegw/soak/Ledger.cpp
@@ -194,6 +194,15 @@
     return it != m_jobs.end() && it->second.starts > 0;
 }
 
+bool Ledger::isRunning(const std::string& job) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) {
+        const auto& runs = upstream.second.runs;
+        return std::any_of(runs.begin(), runs.end(), [&](const Run& it) { return it.task.job == job; });
+    });
+}
+
 void VersionLedger::onAcknowledged(TimePoint now, uint64_t version)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/fescuegw/soak/Ledger.h
+++ b/fescuegw/soak/Ledger.h
@@ -85,6 +85,8 @@
     size_t starts() const;
     size_t crashes() const;
     bool hasStarted(const std::string& job) const;
+    // Whether a task of the job is running anywhere.
+    bool isRunning(const std::string& job) const;
 
 private:
     struct Job {
--- a/fescuegw/soak/LedgerTest.cpp
+++ b/fescuegw/soak/LedgerTest.cpp
@@ -70,6 +70,17 @@
     cr_assert(onlyPromise(it.ledger) == "no two runs at a time");
 }
 
+Test(ledger, aJobRunsUntilItsLastTaskEnds)
+{
+    Fixture it;
+    it.run("up1", "a", 0);
+    it.run("up2", "a", 1);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    cr_assert(it.ledger.isRunning("a") && !it.ledger.isRunning("b"));
+    it.end("up2", "a", 1, RunOutcome::Broken);
+    cr_assert(!it.ledger.isRunning("a"));
+}
+
 Test(ledger, aRestartOfTheUpstreamEndsItsRuns)
 {
     Fixture it;
