An order without an answer is fenced off by the next one

Cause: a hold or a start without an answer may be carried out seconds later. Nothing but its lease kept it from taking effect, and where a lease counts from its arrival, orders of the past went on renewing the runs of an agent that had died, or had counted the lease as over, so that the entry's next attempt ran beside them. Change: every order after an unanswered one has a higher fencing token, also if the unanswered one was a repeat of a start that is known to run. Since orders of one agent can now overtake each other, an overtaken one is sent again with the current token; it uses up no retry, doesn't raise the token by ten seconds, and an overtaken stop is sent again after 30 ms.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -329,7 +329,9 @@
     if (stop == nullptr)
         return;
     stop->inFlight = false;
-    stop->due = now + (answered ? m_options.stopRetryInterval : m_options.unansweredStopRetryInterval);
+    // A stop with a lower token than a later order may have been refused for it.
+    const bool effective = answered && order.fence == m_fence;
+    stop->due = now + (effective ? m_options.stopRetryInterval : m_options.unansweredStopRetryInterval);
 }
 
 void RunTable::confirm(TimePoint now, Run& run)
@@ -349,6 +351,9 @@
 void RunTable::onStartReply(TimePoint now, uint64_t serial, StartVerdict verdict)
 {
     const auto it = m_runs.find(serial);
+    // Also if its run has ended or is listed: the lease of the order is for all runs.
+    if (verdict == StartVerdict::Unanswered)
+        fenceOff(it == m_runs.end() ? m_fence : it->second.fence);
     if (it == m_runs.end())
         return;
     Run& run = it->second;
@@ -364,8 +369,12 @@
         confirm(now, run);
         break;
     case StartVerdict::Fenced:
+        // With the current token, a process of another agent has used a higher one. Otherwise a later order has overtaken this
+        // one, which does not use up a retry.
         if (run.fence == m_fence)
             m_fence += fenceIncrementMs;
+        else
+            --run.sendCount;
         retryOrGiveUp(now, it, "fenced");
         break;
     case StartVerdict::Superseded:
@@ -574,8 +583,10 @@
 
 void RunTable::onHoldFailure(TimePoint now, HoldFailure failure)
 {
-    if (failure == HoldFailure::Fenced)
+    if (failure == HoldFailure::Fenced && m_holdFence == m_fence)
         m_fence += fenceIncrementMs;
+    if (failure == HoldFailure::Unanswered)
+        fenceOff(m_holdFence);
     if (failure == HoldFailure::Refused)
         loseUpstream(now, "refused");
     if (failure == HoldFailure::OtherProcess)
@@ -588,7 +599,7 @@
 HoldOrder RunTable::nextHold(TimePoint now)
 {
     HoldOrder hold;
-    hold.fence = m_fence;
+    hold.fence = m_holdFence = m_fence;
     hold.instance = knownInstance();
     m_holdProcess = m_bornMs;
     // After a failed hold the next process may be there, whose ends have the same numbers.
@@ -704,6 +715,9 @@
         event.with("request", overdue->second.task.job).with("reason", overdue->second.stopReason);
 }
 
+// An order without an answer may be carried out late. Once a later order has been, it is refused by its token.
+void RunTable::fenceOff(uint64_t fence) { m_fence = std::max(m_fence, fence + 1); }
+
 // Starts nothing until the next listing, which tells which process is there.
 void RunTable::loseUpstream(TimePoint now, const std::string& reason)
 {
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -185,6 +185,7 @@
     void sendDueStops(TimePoint now);
     void loseUpstream(TimePoint now, const std::string& reason);
     void onOtherProcess(TimePoint now, uint64_t process);
+    void fenceOff(uint64_t fence);
     // Returns the name of the known process, or an empty string while that is not known.
     std::string knownInstance() const;
     void updateRenewal(TimePoint now);
@@ -210,8 +211,9 @@
     // Another process than the announced one has refused an order, so orders name none until the next announcement.
     bool m_instanceOutdated = false;
     TimePoint m_instanceOutdatedAt;
-    // The process for which the hold in flight is meant.
+    // The process for which the hold in flight is meant, and its fencing token.
     uint64_t m_holdProcess = 0;
+    uint64_t m_holdFence = 0;
     // Its wait.
     Duration m_holdWait {};
     UpstreamClock m_clock;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -652,6 +652,72 @@
     cr_assert(agent.hold.leaseUntilMs.has_value());
 }
 
+// A hold without an answer is carried out seconds later, when its agent has died, and renews the leases of its runs.
+Test(RunTable, anOrderWithoutAnAnswerIsFencedOffByTheNextOne)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const uint64_t first = agent.starts.back().second.fence;
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    const uint64_t repeated = agent.starts.back().second.fence;
+    cr_assert_gt(repeated, first);
+    agent.confirm();
+    agent.list({ row("job", 1) }, {});
+    cr_assert_eq(agent.hold.fence, repeated, "an answered order needs no higher token");
+    agent.advance(ms(160));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    cr_assert_gt(agent.table.nextHold(agent.now).fence, repeated);
+}
+
+// A repeat of a start has no answer, while a listing shows that the task runs, or has ended.
+Test(RunTable, aRepeatWithoutAnAnswerIsFencedOffAlthoughItsTaskRuns)
+{
+    for (const bool ended : { false, true }) {
+        Agent agent;
+        agent.start("e1", "job");
+        if (ended)
+            agent.list({}, { EndedRow { 1, { "job", 0, 0 }, 1, RunEnd::Done } });
+        else
+            agent.list({ row("job", 1) }, {});
+        agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+        cr_assert_gt(agent.table.nextHold(agent.now).fence, agent.starts.back().second.fence);
+    }
+}
+
+// An order is refused since a later one of the same agent has overtaken it. Raising the token beyond that would fence off orders
+// of the next process of the agent, whose token is a wall clock.
+Test(RunTable, anOvertakenOrderIsRepeatedWithTheCurrentToken)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const auto overtaken = agent.starts.back();
+    agent.advance(ms(160));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    agent.hold = agent.table.nextHold(agent.now);
+    agent.table.onStartReply(agent.now, overtaken.first, StartVerdict::Fenced);
+    cr_assert_eq(agent.starts.size(), 2);
+    cr_assert_eq(agent.starts.back().second.fence, agent.hold.fence);
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Fenced);
+    cr_assert_eq(agent.table.nextHold(agent.now).fence, agent.hold.fence + 1, "the hold was overtaken by the repeat");
+}
+
+// An overtaken stop is refused, and answered.
+Test(RunTable, aStopThatMayHaveBeenOvertakenIsSentAgainSoon)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.stop("e1", "job");
+    agent.advance(ms(20));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    agent.table.onStopReply(agent.now, agent.stops.back(), true);
+    agent.advance(ms(40));
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.stops.size(), 2);
+    cr_assert_gt(agent.stops[1].fence, agent.stops[0].fence);
+}
+
 // A row of a listing cannot be read. It may be the row of a run that is missing from the others, which must not be started
 // elsewhere for that reason.
 Test(RunTable, anIncompleteListingEndsNoRun)
--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -1449,3 +1449,17 @@
     const Findings sum = runSeeds("late-leases", 40, faults);
     cr_assert_gt(sum.lateLeases, 100U);
 }
+
+// An agent that is killed takes the news of a crash with it, so its entries count a loss.
+Test(CrashesUnderAgents, noTaskCrashesUpstreamsOnAndOnWhileAgentsAreKilled, .init = initialiseLogging)
+{
+    UpstreamFaults faults { 4, true, true, true };
+    faults.newNames = true;
+    faults.stalls = true;
+    faults.agentStalls = true;
+    faults.agentKills = true;
+    faults.lateAnnouncements = true;
+    const Findings sum = runSeeds("crashes-under-agents", 40, faults);
+    cr_assert_gt(sum.agentKills, 200U);
+    cr_assert_gt(sum.crashedTasks, 50U);
+}
