A new agent starts nothing beside a run whose row it cannot read

Cause: an agent's next process accepted starts after its first listing, also if that had rows that could not be read. Entries take its accepting for the end of all attempts of the process before and start their tasks elsewhere, while one of those rows may be such a run. Change: it accepts nothing until a listing was complete, or until the longest lease that an earlier agent can have given is over; it renews none, since it has no runs. Evidence: aNewAgentStartsNothingBesideARunThatItCannotRead fails with RunTable as it was (it accepted at once).

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -523,6 +523,9 @@
             m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
     }
     applyOrphans(orphaned);
+    if (!m_foreignRunsGoneAt)
+        m_foreignRunsGoneAt = UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease);
+    m_foreignRunsKnown = m_foreignRunsKnown || listing.complete;
     // A run that is not listed may be the one of a row that could not be read.
     if (!listing.complete) {
         for (auto& it : m_runs)
@@ -769,7 +772,8 @@
 bool RunTable::accepting(TimePoint now) const
 {
     return m_announcement && !m_announcement->leaving && m_announcement->bornMs == m_bornMs && !m_departed && !m_draining
-        && m_orphans.empty() && !m_renewalWithheld && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
+        && m_orphans.empty() && (m_foreignRunsKnown || (m_foreignRunsGoneAt && now > *m_foreignRunsGoneAt)) && !m_renewalWithheld
+        && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
 }
 
 Resources RunTable::free() const
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -231,6 +231,10 @@
     uint64_t m_acknowledged = 0;
     // Listed runs that this process did not start. No entry waits for them, and their resource needs are unknown.
     std::map<RunId, Stop> m_orphans;
+    // Whether a listing without unreadable rows has shown which runs an earlier agent has left, and when they are gone in any
+    // case.
+    bool m_foreignRunsKnown = false;
+    std::optional<TimePoint> m_foreignRunsGoneAt;
     // Leases are not renewed, since a run that should have ended is still listed.
     bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -12,7 +12,7 @@
 
 // A run table that records the calls of its hooks.
 struct Agent {
-    Agent()
+    explicit Agent(bool complete = true)
         : table({}, 1,
             { [this](uint64_t serial, const StartOrder& order) { starts.emplace_back(serial, order); },
                 [this](const StopOrder& order) { stops.push_back(order); },
@@ -21,7 +21,7 @@
                 [this](TimePoint, const wire::AttemptReport& report) { broadcasts.push_back(report); } })
     {
         announce(1, 1, false);
-        list({}, {});
+        list({}, {}, complete);
     }
 
     void announce(uint64_t born, uint64_t sequence, bool leaving, const std::string& instance = "i-1")
@@ -37,9 +37,9 @@
         incarnation = std::max(incarnation, born);
     }
 
-    void list(std::vector<RunningRow> running, std::vector<EndedRow> ended)
+    void list(std::vector<RunningRow> running, std::vector<EndedRow> ended, bool complete = true)
     {
-        table.onListing(now, now, Listing { incarnation, clock(), std::move(running), std::move(ended) });
+        table.onListing(now, now, Listing { incarnation, clock(), std::move(running), std::move(ended), complete });
         // The next hold renews the leases of current runs.
         hold = table.nextHold(now);
     }
@@ -735,6 +735,29 @@
     cr_assert_eq(agent.lastReason(), "vanished");
 }
 
+// Entries take it for the end of all runs of an agent's earlier process when the next one accepts starts. A row of its first
+// listings cannot be read.
+Test(RunTable, aNewAgentStartsNothingBesideARunThatItCannotRead)
+{
+    Agent agent(false);
+    for (int n = 0; n < 10; ++n) {
+        cr_assert_not(agent.table.accepting(agent.now));
+        agent.start("e1", "job" + std::to_string(n));
+        cr_assert_eq(agent.lastReason(), "not_accepting");
+        agent.advance(ms(100));
+        agent.list({}, {}, false);
+        cr_assert_not(agent.hold.leaseUntilMs.has_value());
+    }
+    agent.advance(ms(100));
+    agent.list({}, {}, false);
+    cr_assert(agent.table.accepting(agent.now), "the longest lease of an earlier agent is over");
+
+    Agent other(false);
+    other.advance(ms(100));
+    other.list({}, {});
+    cr_assert(other.table.accepting(other.now), "all rows could be read");
+}
+
 // A stop that takes effect within its grace costs the other runs nothing.
 Test(RunTable, aStopInTimeDoesNotEndTheRenewalOfLeases)
 {
