--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -185,6 +185,7 @@
     void sendDueStops(TimePoint now);
     void loseUpstream(TimePoint now, const std::string& reason);
     void onOtherProcess(TimePoint now, uint64_t process);
+    void fenceOff(uint64_t fence);
     // Returns the name of the known process, or an empty string while that is not known.
     std::string knownInstance() const;
     void updateRenewal(TimePoint now);
@@ -210,8 +211,9 @@
     // Another process than the announced one has refused an order, so orders name none until the next announcement.
     bool m_instanceOutdated = false;
     TimePoint m_instanceOutdatedAt;
-    // The process for which the hold in flight is meant.
+    // The process for which the hold in flight is meant, and its fencing token.
     uint64_t m_holdProcess = 0;
+    uint64_t m_holdFence = 0;
     // Its wait.
     Duration m_holdWait {};
     UpstreamClock m_clock;
@@ -229,6 +231,10 @@
     uint64_t m_acknowledged = 0;
     // Listed runs that this process did not start. No entry waits for them, and their resource needs are unknown.
     std::map<RunId, Stop> m_orphans;
+    // Whether a listing without unreadable rows has shown which runs an earlier agent has left, and when they are gone in any
+    // case.
+    bool m_foreignRunsKnown = false;
+    std::optional<TimePoint> m_foreignRunsGoneAt;
     // Leases are not renewed, since a run that should have ended is still listed.
     bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -12,7 +12,7 @@
 
 // A run table that records the calls of its hooks.
 struct Agent {
-    Agent()
+    explicit Agent(bool complete = true)
         : table({}, 1,
             { [this](uint64_t serial, const StartOrder& order) { starts.emplace_back(serial, order); },
                 [this](const StopOrder& order) { stops.push_back(order); },
@@ -21,7 +21,7 @@
                 [this](TimePoint, const wire::AttemptReport& report) { broadcasts.push_back(report); } })
     {
         announce(1, 1, false);
-        list({}, {});
+        list({}, {}, complete);
     }
 
     void announce(uint64_t born, uint64_t sequence, bool leaving, const std::string& instance = "i-1")
@@ -37,9 +37,9 @@
         incarnation = std::max(incarnation, born);
     }
 
-    void list(std::vector<RunningRow> running, std::vector<EndedRow> ended)
+    void list(std::vector<RunningRow> running, std::vector<EndedRow> ended, bool complete = true)
     {
-        table.onListing(now, now, Listing { incarnation, clock(), std::move(running), std::move(ended) });
+        table.onListing(now, now, Listing { incarnation, clock(), std::move(running), std::move(ended), complete });
         // The next hold renews the leases of current runs.
         hold = table.nextHold(now);
     }
@@ -652,6 +652,72 @@
     cr_assert(agent.hold.leaseUntilMs.has_value());
 }
 
+// A hold without an answer is carried out seconds later, when its agent has died, and renews the leases of its runs.
+Test(RunTable, anOrderWithoutAnAnswerIsFencedOffByTheNextOne)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const uint64_t first = agent.starts.back().second.fence;
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    const uint64_t repeated = agent.starts.back().second.fence;
+    cr_assert_gt(repeated, first);
+    agent.confirm();
+    agent.list({ row("job", 1) }, {});
+    cr_assert_eq(agent.hold.fence, repeated, "an answered order needs no higher token");
+    agent.advance(ms(160));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    cr_assert_gt(agent.table.nextHold(agent.now).fence, repeated);
+}
+
+// A repeat of a start has no answer, while a listing shows that the task runs, or has ended.
+Test(RunTable, aRepeatWithoutAnAnswerIsFencedOffAlthoughItsTaskRuns)
+{
+    for (const bool ended : { false, true }) {
+        Agent agent;
+        agent.start("e1", "job");
+        if (ended)
+            agent.list({}, { EndedRow { 1, { "job", 0, 0 }, 1, RunEnd::Done } });
+        else
+            agent.list({ row("job", 1) }, {});
+        agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+        cr_assert_gt(agent.table.nextHold(agent.now).fence, agent.starts.back().second.fence);
+    }
+}
+
+// An order is refused since a later one of the same agent has overtaken it. Raising the token beyond that would fence off orders
+// of the next process of the agent, whose token is a wall clock.
+Test(RunTable, anOvertakenOrderIsRepeatedWithTheCurrentToken)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    const auto overtaken = agent.starts.back();
+    agent.advance(ms(160));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    agent.hold = agent.table.nextHold(agent.now);
+    agent.table.onStartReply(agent.now, overtaken.first, StartVerdict::Fenced);
+    cr_assert_eq(agent.starts.size(), 2);
+    cr_assert_eq(agent.starts.back().second.fence, agent.hold.fence);
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    agent.table.onHoldFailure(agent.now, HoldFailure::Fenced);
+    cr_assert_eq(agent.table.nextHold(agent.now).fence, agent.hold.fence + 1, "the hold was overtaken by the repeat");
+}
+
+// An overtaken stop is refused, and answered.
+Test(RunTable, aStopThatMayHaveBeenOvertakenIsSentAgainSoon)
+{
+    Agent agent;
+    agent.start("e1", "job");
+    agent.confirm();
+    agent.stop("e1", "job");
+    agent.advance(ms(20));
+    agent.table.onHoldFailure(agent.now, HoldFailure::Unanswered);
+    agent.table.onStopReply(agent.now, agent.stops.back(), true);
+    agent.advance(ms(40));
+    agent.table.tick(agent.now);
+    cr_assert_eq(agent.stops.size(), 2);
+    cr_assert_gt(agent.stops[1].fence, agent.stops[0].fence);
+}
+
 // A row of a listing cannot be read. It may be the row of a run that is missing from the others, which must not be started
 // elsewhere for that reason.
 Test(RunTable, anIncompleteListingEndsNoRun)
@@ -669,6 +735,29 @@
     cr_assert_eq(agent.lastReason(), "vanished");
 }
 
+// Entries take it for the end of all runs of an agent's earlier process when the next one accepts starts. A row of its first
+// listings cannot be read.
+Test(RunTable, aNewAgentStartsNothingBesideARunThatItCannotRead)
+{
+    Agent agent(false);
+    for (int n = 0; n < 10; ++n) {
+        cr_assert_not(agent.table.accepting(agent.now));
+        agent.start("e1", "job" + std::to_string(n));
+        cr_assert_eq(agent.lastReason(), "not_accepting");
+        agent.advance(ms(100));
+        agent.list({}, {}, false);
+        cr_assert_not(agent.hold.leaseUntilMs.has_value());
+    }
+    agent.advance(ms(100));
+    agent.list({}, {}, false);
+    cr_assert(agent.table.accepting(agent.now), "the longest lease of an earlier agent is over");
+
+    Agent other(false);
+    other.advance(ms(100));
+    other.list({}, {});
+    cr_assert(other.table.accepting(other.now), "all rows could be read");
+}
+
 // A stop that takes effect within its grace costs the other runs nothing.
 Test(RunTable, aStopInTimeDoesNotEndTheRenewalOfLeases)
 {
