--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -652,6 +652,18 @@
     cr_assert(agent.hold.leaseUntilMs.has_value());
 }
 
+// A foreign run was listed, and the next listing has a row that cannot be read: its own.
+Test(RunTable, aForeignRunIsForgottenWhenItsRowCannotBeRead)
+{
+    Agent agent;
+    agent.advance(ms(10));
+    agent.list({ row("foreign", 3) }, {});
+    cr_assert_not(agent.table.accepting(agent.now));
+    agent.advance(ms(20));
+    agent.list({}, {}, false);
+    cr_assert_not(agent.table.accepting(agent.now), "the run may be there");
+}
+
 // A hold without an answer is carried out seconds later, when its agent has died, and renews the leases of its runs.
 Test(RunTable, anOrderWithoutAnAnswerIsFencedOffByTheNextOne)
 {
