A foreign run stays known when a later listing cannot show its row

Cause: runs that an agent did not start were those of the latest listing, whether or not all its rows could be read. One that a listing had shown was forgotten when the next could not: the agent accepted starts again, which entries take for the end of its earlier process's attempts, stopped the run no longer and renewed the leases of its own runs, and so that of this one. Change: beside a listing with unreadable rows, a known foreign run stays until its end is listed or the longest lease is over.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -325,7 +325,7 @@
     if (const auto run = find(order.task, order.run); run != m_runs.end())
         stop = &run->second.stop;
     else if (const auto orphan = m_orphans.find({ order.task, order.run }); orphan != m_orphans.end())
-        stop = &orphan->second;
+        stop = &orphan->second.stop;
     if (stop == nullptr)
         return;
     stop->inFlight = false;
@@ -522,7 +522,7 @@
         if (it->second.state == State::Running)
             m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
     }
-    applyOrphans(orphaned);
+    applyOrphans(now, orphaned, listing);
     if (!m_foreignRunsGoneAt)
         m_foreignRunsGoneAt = UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease);
     m_foreignRunsKnown = m_foreignRunsKnown || listing.complete;
@@ -572,15 +572,24 @@
         finish(now, it, run.mayHaveEnded ? wire::ATTEMPT_LOST : wire::ATTEMPT_NOT_STARTED, "start_unanswered");
 }
 
-void RunTable::applyOrphans(const std::vector<RunId>& listed)
+// A run that a listing with unreadable rows does not show is there until its end is listed, or until the longest lease is over.
+void RunTable::applyOrphans(TimePoint now, const std::vector<RunId>& listed, const Listing& listing)
 {
-    if (listed.size() != m_orphans.size())
-        Event(Level::Info, "foreign_runs").with("count", listed.size()).with("before", m_orphans.size());
-    std::map<RunId, Stop> orphans;
+    const TimePoint goneAt = std::max(m_longestLeasesExpireAt, UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease));
+    std::map<RunId, Orphan> orphans;
     for (const auto& it : listed) {
         const auto known = m_orphans.find(it);
-        orphans.emplace(it, known == m_orphans.end() ? Stop() : known->second);
+        orphans.emplace(it, Orphan { known == m_orphans.end() ? Stop() : known->second.stop, goneAt });
     }
+    if (!listing.complete) {
+        for (const auto& it : listing.ended)
+            m_orphans.erase({ it.task, it.run });
+        for (const auto& it : m_orphans)
+            if (now <= it.second.goneAt)
+                orphans.insert(it);
+    }
+    if (orphans.size() != m_orphans.size())
+        Event(Level::Info, "foreign_runs").with("count", orphans.size()).with("before", m_orphans.size());
     m_orphans = std::move(orphans);
 }
 
@@ -698,7 +707,7 @@
         if (it.second.state == State::Stopping)
             sendDueStop(now, { it.second.task, it.second.run }, it.second.stop);
     for (auto& it : m_orphans)
-        sendDueStop(now, it.first, it.second);
+        sendDueStop(now, it.first, it.second.stop);
 }
 
 // A stop may fail for as long as the upstream leaves requests undone. The lease then bounds the run, but there is one lease for
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -112,6 +112,13 @@
         TimePoint due;
     };
 
+    // A run that this process did not start.
+    struct Orphan {
+        Stop stop;
+        // Its longest lease is over then, unless a listing shows it again.
+        TimePoint goneAt;
+    };
+
     struct Run {
         std::string entry;
         wire::StartTask request;
@@ -177,7 +184,7 @@
     void confirm(TimePoint now, Run&);
     void applyEnd(TimePoint now, const EndedRow&);
     void applyRunning(TimePoint now, TimePoint sent, const Listing&);
-    void applyOrphans(const std::vector<RunId>&);
+    void applyOrphans(TimePoint now, const std::vector<RunId>& listed, const Listing&);
     void finish(TimePoint now, Runs::iterator, wire::AttemptState, const std::string& reason);
     void sendStart(TimePoint now, uint64_t serial, Run&);
     void beginStop(TimePoint now, Run&, const std::string& reason, Duration grace);
@@ -230,7 +237,7 @@
     std::deque<std::pair<TimePoint, EntryAttempt>> m_settledOrder;
     uint64_t m_acknowledged = 0;
     // Listed runs that this process did not start. No entry waits for them, and their resource needs are unknown.
-    std::map<RunId, Stop> m_orphans;
+    std::map<RunId, Orphan> m_orphans;
     // Whether a listing without unreadable rows has shown which runs an earlier agent has left, and when they are gone in any
     // case.
     bool m_foreignRunsKnown = false;
