What other threads post is handled with a time after it was posted

Cause: the loop read the time, then took the tasks of other threads. Change: the time is read after the tasks were taken; the loop's clock can be given.

--- a/fescuegw/net/Hub.cpp
+++ b/fescuegw/net/Hub.cpp
@@ -294,7 +294,7 @@
     dealer->connect(endpoint(address));
     const int descriptor = dealer->get(zmq::sockopt::fd);
     m_sockets->removeDealer(name);
-    m_sockets->dealers[name] = Sockets::Dealer { address, std::move(dealer), descriptor, monotonicNow(), std::nullopt };
+    m_sockets->dealers[name] = Sockets::Dealer { address, std::move(dealer), descriptor, m_options.clock(), std::nullopt };
     m_sockets->dealerNames[descriptor] = name;
     m_sockets->descriptors.add(descriptor);
 }
@@ -330,13 +330,16 @@
     (void)!write(m_wakeDescriptor, &one, sizeof one);
 }
 
-void Hub::runTasks(TimePoint now)
+// The time is taken after the tasks: a task that another thread posts in between would be handled with a time before what it
+// tells of.
+void Hub::runTasks()
 {
     std::vector<std::function<void(TimePoint)>> tasks;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         tasks.swap(m_tasks);
     }
+    const TimePoint now = m_options.clock();
     for (const auto& it : tasks)
         it(now);
 }
@@ -353,12 +356,12 @@
     while (!m_stopped) {
         const bool idle = !hasQueued() && !m_sockets->hasUnread();
         receiveReadable(m_sockets->descriptors.wait(idle ? m_options.tickInterval : Duration()));
-        probeLinks(monotonicNow());
-        runTasks(monotonicNow());
-        m_hooks.onBatchEnd(monotonicNow());
-        flush(monotonicNow());
+        probeLinks(m_options.clock());
+        runTasks();
+        m_hooks.onBatchEnd(m_options.clock());
+        flush(m_options.clock());
     }
-    flush(monotonicNow());
+    flush(m_options.clock());
 }
 
 void Hub::receiveReadable(const std::vector<int>& descriptors)
@@ -429,7 +432,7 @@
             if (message.empty())
                 (void)transmit({ peer, "" });
             else
-                m_hooks.onMessage(monotonicNow(), peer, message.to_string());
+                m_hooks.onMessage(m_options.clock(), peer, message.to_string());
         }
         if (m_sockets->routerUnread)
             return;
@@ -444,7 +447,7 @@
         const auto found = m_sockets->dealers.find(name);
         if (found == m_sockets->dealers.end() || !found->second.socket->recv(message, zmq::recv_flags::dontwait))
             return;
-        const TimePoint now = monotonicNow();
+        const TimePoint now = m_options.clock();
         found->second.lastHeard = now;
         found->second.probeSentAt = std::nullopt;
         if (!message.empty())
--- a/fescuegw/net/Hub.h
+++ b/fescuegw/net/Hub.h
@@ -53,6 +53,8 @@
     // the same time. Needed in addition to `silenceLimit`, since a forwarder between the hosts may acknowledge data that it does
     // not forward.
     Duration probeTimeout { std::chrono::milliseconds(1000) };
+    // The present time.
+    std::function<TimePoint()> clock { monotonicNow };
 };
 
 struct HubHooks {
@@ -117,7 +119,7 @@
     void probeLinks(TimePoint now);
     void receiveAccepted();
     void receiveFrom(const std::string& name);
-    void runTasks(TimePoint now);
+    void runTasks();
     bool transmit(const Outgoing&);
 
     HubOptions m_options;
--- a/fescuegw/net/HubTest.cpp
+++ b/fescuegw/net/HubTest.cpp
@@ -193,6 +193,31 @@
         cr_assert_geq((times[n] - begun[n - 1]).count(), handlingTime.count(), "message %zu", n);
 }
 
+// Another thread posts what it has learned while the loop begins a batch, after the loop has read the time.
+Test(hub, aTaskIsNotHandledWithATimeBeforeItWasPosted)
+{
+    constexpr size_t tasks = 20;
+    std::vector<std::pair<TimePoint, TimePoint>> handled;
+    std::unique_ptr<Hub> hub;
+    HubOptions options;
+    options.identity = "loop";
+    options.clock = [&] {
+        const TimePoint now = monotonicNow();
+        while (monotonicNow() <= now) { }
+        hub->post([&, postedAt = monotonicNow()](TimePoint then) { handled.emplace_back(postedAt, then); });
+        return now;
+    };
+    HubHooks hooks;
+    hooks.onBatchEnd = [&](TimePoint) {
+        if (handled.size() >= tasks)
+            hub->stop();
+    };
+    hub = std::make_unique<Hub>(options, hooks);
+    hub->run();
+    for (const auto& it : handled)
+        cr_assert_geq((it.second - it.first).count(), 0);
+}
+
 // A list that another process wrote holds an address that cannot be connected to. The process goes on without that link.
 Test(hub, unusableAddressesAreRefused)
 {
