Soak: leases of late orders that count from their arrival

The soak's late orders kept the lease that was meant, so none renewed anything. The plans of other options are drawn as before.

--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -120,6 +120,23 @@
             return fault;
         }
 
+        Fault nextLateLeasesFault()
+        {
+            Fault fault;
+            // Weights in percent: late orders 50, agents that are killed 20 and paused 15, entries that are paused 15.
+            const uint32_t category = below(100);
+            if (category < 50) {
+                fault.kind = FaultKind::LateOrders;
+                fault.target = Target::Upstream;
+            } else {
+                fault.kind = category < 70 ? FaultKind::Kill : FaultKind::Pause;
+                fault.target = category < 85 ? Target::Agent : Target::Entry;
+            }
+            fault.index = below(count(fault.target));
+            fault.length = between(minLengthMs, maxLengthMs);
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -197,6 +214,7 @@
     const auto lastMs = static_cast<uint32_t>(toMs(options.length) - (options.stalls ? maxStallMs : maxLengthMs));
     for (uint32_t n = 0; n < options.series; ++n) {
         Fault fault = options.stalls ? generator.nextStall()
+            : options.lateLeases     ? generator.nextLateLeasesFault()
             : options.quickRestarts  ? generator.nextQuickRestartsFault()
             : options.crashes        ? generator.nextCrashesFault()
             : options.runBounds      ? generator.nextRunBoundFault()
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -98,6 +98,9 @@
     bool quickRestarts = false;
     // Draws only entries that stand still, for 0.1 to 4 s.
     bool stalls = false;
+    // Draws only what decides whether an order that is carried out late takes effect: late orders, agents that are killed or
+    // paused, and entries that are paused.
+    bool lateLeases = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -143,6 +143,36 @@
     cr_assert_gt(overlaps, 300U);
 }
 
+Test(faultPlan, aLateLeasesPlanHasLateOrdersLostAndPausedAgentsAndPausedEntries)
+{
+    PlanOptions options;
+    options.lateLeases = true;
+    options.series = 12;
+    size_t lateOrders = 0;
+    size_t killedAgents = 0;
+    size_t pausedAgents = 0;
+    size_t pausedEntries = 0;
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        for (const auto& it : drawPlan(seed, {}, options)) {
+            cr_assert(it.at >= options.calm && it.at + it.length <= options.length);
+            if (it.kind == FaultKind::LateOrders) {
+                ++lateOrders;
+                cr_assert(it.target == Target::Upstream);
+            } else if (it.kind == FaultKind::Kill) {
+                ++killedAgents;
+                cr_assert(it.target == Target::Agent);
+            } else {
+                ++(it.target == Target::Agent ? pausedAgents : pausedEntries);
+                cr_assert(it.kind == FaultKind::Pause && (it.target == Target::Agent || it.target == Target::Entry));
+            }
+        }
+    }
+    cr_assert_gt(killedAgents, 100U);
+    cr_assert_gt(pausedAgents, 100U);
+    cr_assert_gt(pausedEntries, 100U);
+    cr_assert_gt(lateOrders, killedAgents);
+}
+
 Test(faultPlan, losesADiskOnlyAwayFromOtherReplicaFaults)
 {
     const PlanOptions options;
