--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -238,10 +238,10 @@
     uint64_t m_acknowledged = 0;
     // Listed runs that this process did not start. No entry waits for them, and their resource needs are unknown.
     std::map<RunId, Orphan> m_orphans;
-    // Whether a listing without unreadable rows has shown which runs an earlier agent has left, and when they are gone in any
-    // case.
-    bool m_foreignRunsKnown = false;
+    // When the runs that an earlier agent has left are gone in any case, and whether a listing without unreadable rows has shown
+    // them.
     std::optional<TimePoint> m_foreignRunsGoneAt;
+    bool m_foreignRunsKnown = false;
     // Leases are not renewed, since a run that should have ended is still listed.
     bool m_renewalWithheld = false;
     std::optional<TimePoint> m_lastListingAt;
