--- a/review/standin-2/Worker.cpp
+++ b/review/standin-2/Worker.cpp
@@ -3,7 +3,8 @@
 // Starts what it is told to start, whatever room it has. A task works for the milliseconds after "work=" in its specification
 // and ends as done. Prints a line for each start and end: Unix milliseconds, the worker, what happened, the task and the run.
 //
-// After SIGUSR1, the next order to start a task gets no answer and is carried out 2.5 s later; its time counts from then.
+// After SIGUSR1, it leaves all requests undone and unanswered for 5.5 s, but for the first order to start a task: that one is
+// carried out 3.2 s later, and its time counts from then.
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -45,11 +46,12 @@
 constexpr uint64_t maxWaitMs = 2000;
 constexpr size_t maxListedEnds = 500;
 constexpr int backlog = 64;
-// Of an order that is carried out late, and how long its caller is left without an answer.
-constexpr milliseconds lateness { 2500 };
+constexpr milliseconds sickness { 5500 };
+constexpr milliseconds lateness { 3200 };
+// How long a caller is left without an answer.
 constexpr milliseconds silence { 12000 };
 
-std::atomic<bool> leavesNextStart { false };
+std::atomic<bool> fallsSick { false };
 
 uint64_t unixMs()
 {
@@ -125,23 +127,14 @@
         }
     }
 
-    // Returns nothing if the order is left unanswered.
+    // Returns nothing if the request is left unanswered.
     std::optional<Answer> answer(const Request& request)
     {
         const json body = json::parse(request.body, nullptr, false);
-        if (request.path != "/v1/run-start" || !body.is_object() || !leavesNextStart.exchange(false))
+        if (!isSick())
             return carryOut(request, body);
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            print("unanswered", body.value("task", ""), body.value("run", uint64_t { 0 }));
-        }
-        std::thread([this, request, late = body]() mutable {
-            std::this_thread::sleep_for(lateness);
-            late["deadlineMs"] = late.value("deadlineMs", uint64_t { 0 }) + static_cast<uint64_t>(lateness.count());
-            const Answer answer = carryOut(request, late);
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            print("carried_out_late_" + std::to_string(answer.status), late.value("task", ""), late.value("run", uint64_t { 0 }));
-        }).detach();
+        if (request.path == "/v1/run-start" && body.is_object() && !m_hasLateOrder.exchange(true))
+            carryOutLater(request, body);
         return std::nullopt;
     }
 
@@ -155,6 +148,24 @@
     }
 
 private:
+    bool isSick()
+    {
+        if (fallsSick.exchange(false))
+            m_sickUntil = Clock::now() + sickness;
+        return Clock::now() < m_sickUntil.load();
+    }
+
+    void carryOutLater(const Request& request, const json& body)
+    {
+        print("unanswered", body.value("task", ""), body.value("run", uint64_t { 0 }));
+        std::thread([this, request, late = body]() mutable {
+            std::this_thread::sleep_for(lateness);
+            late["deadlineMs"] = late.value("deadlineMs", uint64_t { 0 }) + static_cast<uint64_t>(lateness.count());
+            const Answer answer = carryOut(request, late);
+            print("carried_out_late_" + std::to_string(answer.status), late.value("task", ""), late.value("run", uint64_t { 0 }));
+        }).detach();
+    }
+
     Answer carryOut(const Request& request, const json& body)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
@@ -278,6 +289,8 @@
     std::list<Run> m_runs;
     std::vector<End> m_ends;
     std::map<std::string, uint64_t> m_numbers;
+    std::atomic<Clock::time_point> m_sickUntil {};
+    std::atomic<bool> m_hasLateOrder { false };
 };
 
 std::string headerValue(const std::string& head, const std::string& name)
@@ -384,7 +397,7 @@
         std::cerr << "fescuegw-review-worker NAME SERVICE LISTEN_IP:PORT AGENT_IP:PORT\n";
         return 2;
     }
-    std::signal(SIGUSR1, [](int) { leavesNextStart = true; });
+    std::signal(SIGUSR1, [](int) { fallsSick = true; });
     Worker worker(argv[1], argv[2], argv[3]);
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
