--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -37,7 +37,7 @@
   note "heartbeat of x-4417, service thermograph, at side$busiest: $answer"
 fi
 wait $caller || true
-note "answer: $(tr '\n' ' ' < "$work/answer")"
+note "answer to $job: $(tr '\n' ' ' < "$work/answer")"
 sleep 2
 
 # More jobs, after three further heartbeats of the worker.
@@ -45,7 +45,9 @@
 note "more jobs are handed in"
 write_job "$work/probe" 100 30
 for _ in 1 2 3; do
-  submit 1 "$(new_job_id)" "$work/probe" $patience_ms > /dev/null || true
+  job=$(new_job_id)
+  answer=$(submit 1 "$job" "$work/probe" $patience_ms) || true
+  note "answer to $job: $(tr '\n' ' ' <<< "$answer")"
 done
 awk '/more jobs/ { seen = 1 } seen && $3 == "start" { ++n[$2] } END { for (it in n) print it ": " n[it] " starts of them" }' \
   "$record" | sort | tee -a "$record"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review (cases 6 to 10) into target/review-2. Run after the build command of the deploy file.
+# Builds the stand-ins of the second review (cases 6 and 7) into target/review-2. Run after the build command of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=target/review-2
