A replica that is told to stop leaves its group first, if that can spare it

Callers saw an acknowledged configuration that never came again: two machines lost their disks right after a planned replacement, and no leader could be elected any more.

Cause: a replaced replica just ended on SIGTERM. It stayed one of 2n + 2 voters until it had been silent for 1.5 s, and such a group bears the loss of n - 1 more. What was acknowledged in between rested on that group.

Now a replica that is told to stop asks the leader to leave and takes part until it is removed, or until the group says that it cannot spare it (MembershipPolicy::onLeaving); it waits for a successor that is catching up, and in all for at most 2 s. Once the removal has been committed, a quorum is one of the smaller group. A leader does the same with itself. Requests to leave count only from the replica itself.

--- a/fescuegw/state/FormationTest.cpp
+++ b/fescuegw/state/FormationTest.cpp
@@ -27,6 +27,9 @@
     MembershipPolicy policy { { .minVoters = 5 } };
     uint64_t policyTerm = 0;
     bool unsynced = false;
+    // Has been told to stop.
+    bool leaving = false;
+    bool mayStop = false;
     std::vector<std::string> applied;
 };
 
@@ -56,7 +59,21 @@
 
     Host& host(size_t n) { return *m_hosts[n]; }
 
+    // Adds a host with an empty disk, and returns its number.
+    size_t addHost()
+    {
+        m_hosts.push_back(std::make_unique<Host>());
+        Host& added = *m_hosts.back();
+        added.address = "host" + std::to_string(m_hosts.size() - 1);
+        wipe(added, 0);
+        start(added);
+        return m_hosts.size() - 1;
+    }
+
     void stop(size_t n) { host(n).replica.reset(); }
+    // The host takes part until the group lets it go.
+    void stopInOrder(size_t n) { host(n).leaving = true; }
+    bool isStopped(size_t n) { return !host(n).replica; }
     // Restarts the host with an empty disk.
     void replaceDisk(size_t n)
     {
@@ -65,6 +82,21 @@
         start(host(n));
     }
 
+    size_t leaderNumber()
+    {
+        for (size_t n = 0; n < m_hosts.size(); ++n)
+            if (m_hosts[n].get() == leader())
+                return n;
+        return m_hosts.size();
+    }
+
+    // Returns whether the leader has committed `command`.
+    bool hasCommitted(const std::string& command)
+    {
+        const Host* it = leader();
+        return it != nullptr && std::find(it->applied.begin(), it->applied.end(), command) != it->applied.end();
+    }
+
     void moveTo(size_t n, const std::string& address) { host(n).address = address; }
 
     void run(Duration duration)
@@ -174,8 +206,20 @@
                 it->policy.startTerm(m_now);
             }
             sendJoinRequests(*it);
+            letLeave(*it);
             changeMembership(*it);
         }
+        for (auto& it : m_hosts)
+            if (it->leaving && it->replica && it->mayStop)
+                it->replica.reset();
+    }
+
+    // What leaving hosts ask the leader, and its answers.
+    void letLeave(Host& leaderHost)
+    {
+        for (auto& it : m_hosts)
+            if (it->leaving && it->replica)
+                it->mayStop = leaderHost.policy.onLeaving(m_now, it->id, *leaderHost.replica) == LeaveVerdict::Stop;
     }
 
     // Non-voting replicas send a join request every 300 ms.
@@ -184,7 +228,7 @@
         if ((m_now.time_since_epoch() / step) % 30 != 0)
             return;
         for (auto& it : m_hosts) {
-            if (!it->replica || it->replica->votes())
+            if (!it->replica || it->replica->votes() || it->leaving)
                 continue;
             wire::Member candidate;
             candidate.set_id(it->id);
@@ -271,3 +315,67 @@
         cr_assert(group.voters() == allHosts, "seed %lu", seed);
     }
 }
+
+// A host is replaced as planned, and two more lose their disks right after a commit. The host that has stopped still counted as
+// one of six voters, and the committed entry never came again.
+Test(Formation, twoDisksMayBeLostRightAfterAPlannedReplacement)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t added = group.addHost();
+        group.run(std::chrono::seconds(4));
+        cr_assert_eq(group.voters().size(), 6, "seed %lu", seed);
+        // Every second time it is the leader that stops.
+        const size_t replaced = seed % 2 == 0 ? group.leaderNumber() : seed % 5;
+        group.stopInOrder(replaced);
+        group.run(std::chrono::seconds(2));
+        cr_assert(group.isStopped(replaced), "seed %lu", seed);
+        cr_assert(group.propose("kept"), "seed %lu", seed);
+        group.run(std::chrono::milliseconds(50));
+        cr_assert(group.hasCommitted("kept"), "seed %lu", seed);
+        std::vector<size_t> rest;
+        for (size_t n = 0; n <= added; ++n)
+            if (n != replaced)
+                rest.push_back(n);
+        group.replaceDisk(rest[seed % 5]);
+        group.replaceDisk(rest[(seed + 2) % 5]);
+        group.run(std::chrono::seconds(8));
+        cr_assert(group.hasCommitted("kept"), "seed %lu", seed);
+        cr_assert_eq(group.voters().size(), 5, "seed %lu", seed);
+    }
+}
+
+// A host is only restarted, and the group has no voter to spare.
+Test(Formation, aVoterThatIsNeededStopsAtOnceAndStaysAMember)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t n = seed % 5;
+        group.stopInOrder(n);
+        group.run(std::chrono::milliseconds(20));
+        cr_assert(group.isStopped(n), "seed %lu", seed);
+        group.run(std::chrono::seconds(5));
+        cr_assert(group.voters() == allHosts, "seed %lu", seed);
+    }
+}
+
+// The successor has only begun to catch up when the host that it replaces is told to stop.
+Test(Formation, aReplacedHostStopsOnceItsSuccessorVotes)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        group.addHost();
+        group.run(std::chrono::milliseconds(400));
+        const size_t n = seed % 5;
+        group.stopInOrder(n);
+        group.run(std::chrono::milliseconds(1600));
+        cr_assert(group.isStopped(n), "seed %lu", seed);
+        const auto voters = group.voters();
+        cr_assert_eq(voters.size(), 5, "seed %lu: %zu voters", seed, voters.size());
+        cr_assert_eq(std::count(voters.begin(), voters.end(), "host5"), 1, "seed %lu", seed);
+        cr_assert_eq(std::count(voters.begin(), voters.end(), "host" + std::to_string(n)), 0, "seed %lu", seed);
+    }
+}
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -28,6 +28,7 @@
 {
     m_termStart = now;
     m_candidates.clear();
+    m_leaving.clear();
     m_firstSeen.clear();
 }
 
@@ -37,8 +38,33 @@
     candidate.lastRequest = now;
 }
 
+// A voter that ends without being removed leaves a group with a surplus voter weaker by one loss. One that is replaced by a
+// member which has not caught up yet is not spare until then.
+LeaveVerdict MembershipPolicy::onLeaving(TimePoint now, uint64_t id, const raft::Replica& replica)
+{
+    const wire::Membership& membership = replica.membership();
+    const wire::Member* member = findMember(membership, id);
+    if (member == nullptr)
+        return replica.isMembershipChanging() ? LeaveVerdict::Wait : LeaveVerdict::Stop;
+    const auto joins = [id](const wire::Member& it) { return it.id() != id && !it.voter() && it.replaces() == 0; };
+    const bool mayBecomeSpare = replica.isMembershipChanging() || !m_candidates.empty()
+        || std::any_of(membership.members().begin(), membership.members().end(), joins);
+    if (member->voter() && !hasSurplusVoters(membership) && !mayBecomeSpare)
+        return LeaveVerdict::Stop;
+    m_leaving[id] = now;
+    return LeaveVerdict::Wait;
+}
+
+bool MembershipPolicy::hasSurplusVoters(const wire::Membership& membership) const
+{
+    const auto voters = std::count_if(
+        membership.members().begin(), membership.members().end(), [](const wire::Member& it) { return it.voter(); });
+    return static_cast<size_t>(voters) > m_options.minVoters;
+}
+
 std::optional<MembershipChange> MembershipPolicy::next(TimePoint now, const raft::Replica& replica)
 {
+    std::erase_if(m_leaving, [&](const auto& it) { return now - it.second > m_options.leaveExpiry; });
     std::erase_if(m_candidates, [&](const auto& it) { return now - it.second.lastRequest > m_options.candidateExpiry; });
     if (replica.isMembershipChanging())
         return std::nullopt;
@@ -76,15 +102,17 @@
     const auto& members = replica.membership().members();
     // A member that is removed and added again gets a full silence time-out.
     std::erase_if(m_firstSeen, [&](const auto& it) { return findMember(replica.membership(), it.first) == nullptr; });
-    const auto voters = std::count_if(members.begin(), members.end(), [](const wire::Member& it) { return it.voter(); });
-    const bool hasSurplusVoters = static_cast<size_t>(voters) > m_options.minVoters;
+    const bool hasSurplus = hasSurplusVoters(replica.membership());
+    for (const auto& it : members)
+        if (m_leaving.contains(it.id()) && (!it.voter() || hasSurplus))
+            return MembershipChange { MembershipChange::Kind::Remove, it, 0 };
     const wire::Member* mostSilent = nullptr;
     TimePoint mostSilentSince = now - m_options.silenceTimeout;
     for (const auto& it : members) {
         if (it.id() == replica.leader())
             continue;
         const TimePoint lastHeard = lastHeardFrom(now, replica, it);
-        if (lastHeard > mostSilentSince || (it.voter() && !hasSurplusVoters))
+        if (lastHeard > mostSilentSince || (it.voter() && !hasSurplus))
             continue;
         mostSilent = &it;
         mostSilentSince = lastHeard;
--- a/fescuegw/state/MembershipPolicy.h
+++ b/fescuegw/state/MembershipPolicy.h
@@ -21,6 +21,16 @@
     // have been delayed from before its sender lost its disk. It expires after `candidateExpiry` without a request.
     Duration candidateSpacing { std::chrono::milliseconds(200) };
     Duration candidateExpiry { std::chrono::milliseconds(1500) };
+    // A request to leave expires without a further one: its sender has ended, and may be back.
+    Duration leaveExpiry { std::chrono::milliseconds(500) };
+};
+
+// What a replica that has been told to stop does.
+enum class LeaveVerdict : uint8_t {
+    // It is no member, or the group has no voter to spare.
+    Stop,
+    // It takes part until it is removed.
+    Wait,
 };
 
 // A single-member change of the group.
@@ -41,7 +51,7 @@
 bool hasUsableAddress(const wire::Member& member);
 
 // Chooses one membership change at a time. Adds candidates; a candidate at the address of a member has lost that member's
-// disk and replaces it. Removes unresponsive non-voters, and unresponsive voters in excess of `minVoters`.
+// disk and replaces it. Removes non-voters that leave or are unresponsive, and such voters in excess of `minVoters`.
 // Holds only soft state of the leader. Not thread-safe.
 class MembershipPolicy {
 public:
@@ -53,6 +63,10 @@
     // Records a join request of a non-voting replica.
     void onCandidate(TimePoint now, const wire::Member&);
 
+    // Records that member `id`, possibly the leader itself, has been told to stop. Called again until the verdict is `Stop`.
+    // `replica` must be the leader.
+    LeaveVerdict onLeaving(TimePoint now, uint64_t id, const raft::Replica& replica);
+
     // Returns the change to start now, or nothing. `replica` must be the leader.
     std::optional<MembershipChange> next(TimePoint now, const raft::Replica& replica);
 
@@ -66,10 +80,13 @@
     std::optional<MembershipChange> chooseAddition(TimePoint now, const wire::Membership&);
     std::optional<MembershipChange> chooseRemoval(TimePoint now, const raft::Replica&);
     TimePoint lastHeardFrom(TimePoint now, const raft::Replica&, const wire::Member&);
+    bool hasSurplusVoters(const wire::Membership&) const;
 
     MembershipOptions m_options;
     TimePoint m_termStart;
     std::map<uint64_t, Candidate> m_candidates;
+    // When each leaving member has last asked to leave.
+    std::map<uint64_t, TimePoint> m_leaving;
     // When each member was first seen in the membership: the start of its silence time-out if it has never answered.
     std::map<uint64_t, TimePoint> m_firstSeen;
 };
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -22,6 +22,9 @@
     constexpr Duration joinRequestInterval = std::chrono::milliseconds(300);
     // A voter that has seen no leader for this many election timeouts may have been removed and requests to join again.
     constexpr int leaderlessElectionTimeouts = 3;
+    // Longer than an election; shorter than the time that a service manager grants a process to stop.
+    constexpr Duration leaveTimeout = std::chrono::milliseconds(2000);
+    constexpr Duration leaveRequestInterval = std::chrono::milliseconds(50);
     // A silent link between replicas is reconnected after the election timeout divided by this.
     constexpr int silenceLimitDivisor = 1;
 
@@ -205,10 +208,7 @@
     hooks.send = [this](const wire::RaftMessage& m) {
         wire::StateEnvelope envelope;
         *envelope.mutable_raft() = m;
-        // A replica that was just added does not know the members yet, but has accepted a link from the leader.
-        const std::string peer = replicaName(m.to());
-        const auto direction = m_hub->isConnected(peer) ? net::Peer::Direction::Connected : net::Peer::Direction::Accepted;
-        m_hub->send({ direction, peer }, envelope.SerializeAsString());
+        sendTo(m.to(), envelope);
     };
     hooks.saveHardState = [this](const wire::HardState& it) { m_store.stage(it); };
     hooks.saveEntry = [this](const wire::LogEntry& it) { m_store.stage(it); };
@@ -240,7 +240,62 @@
     return m_failed ? daemon::exitFailure : 0;
 }
 
-void StateServer::stop() { m_hub->stop(); }
+void StateServer::sendTo(uint64_t replica, const wire::StateEnvelope& envelope)
+{
+    // A replica that was just added does not know the members yet, but has accepted a link from the leader.
+    const std::string peer = replicaName(replica);
+    const auto direction = m_hub->isConnected(peer) ? net::Peer::Direction::Connected : net::Peer::Direction::Accepted;
+    m_hub->send({ direction, peer }, envelope.SerializeAsString());
+}
+
+void StateServer::stop()
+{
+    m_hub->post([this](TimePoint now) {
+        if (m_leaveDeadline)
+            return;
+        m_leaveDeadline = now + leaveTimeout;
+        Event(Level::Info, "replica_leaving")
+            .with("voter", m_replica->votes() ? "yes" : "no")
+            .with("leader", m_replica->leader());
+    });
+}
+
+// A replica that is replaced is still a voter, and counts in every quorum until it is removed. Whether it is replaced or only
+// restarted is not known, but one that the group can spare makes it weaker by being a silent voter.
+void StateServer::leave(TimePoint now)
+{
+    if (!m_leaveDeadline)
+        return;
+    if (!m_membershipPolicy) {
+        finishLeaving("not_managed");
+    } else if (!isMember() && !m_replica->isMembershipChanging()) {
+        finishLeaving("no_member");
+    } else if (now >= *m_leaveDeadline) {
+        finishLeaving("no_answer");
+    } else if (m_replica->hasLease(now)) {
+        if (m_membershipPolicy->onLeaving(now, m_settings.id, *m_replica) == LeaveVerdict::Stop)
+            finishLeaving("allowed");
+    } else if (m_replica->leader() != 0 && m_replica->leader() != m_settings.id && now >= m_nextLeaveRequest) {
+        m_nextLeaveRequest = now + leaveRequestInterval;
+        wire::StateEnvelope envelope;
+        envelope.mutable_request()->mutable_leave()->set_id(m_settings.id);
+        sendTo(m_replica->leader(), envelope);
+    }
+}
+
+bool StateServer::isMember() const
+{
+    const auto& members = m_replica->membership().members();
+    return std::any_of(members.begin(), members.end(), [this](const wire::Member& it) { return it.id() == m_settings.id; });
+}
+
+void StateServer::finishLeaving(std::string_view reason)
+{
+    if (std::exchange(m_left, true))
+        return;
+    Event(Level::Info, "replica_left").with("reason", reason);
+    m_hub->stop();
+}
 
 void StateServer::onMessage(TimePoint now, const net::Peer& peer, const std::string& content)
 {
@@ -255,6 +310,13 @@
     }
     if (envelope.has_reply()) {
         addContacts(envelope.reply());
+        if (m_leaveDeadline && envelope.reply().leave().may_stop())
+            finishLeaving("allowed");
+        return;
+    }
+    // A replica leaves only by its own request.
+    if (envelope.request().has_leave() && peer.name != replicaName(envelope.request().leave().id())) {
+        Event(Level::Warn, "leave_refused").with("peer", peer.name).with("id", envelope.request().leave().id());
         return;
     }
     onRequest(now, envelope.request(), [this, peer](const wire::StateReply& reply) {
@@ -274,6 +336,7 @@
 {
     connectMembers();
     sendJoinRequests(now);
+    leave(now);
     logLeadershipChanges();
     runOwnershipPolicy(now);
     runMembershipPolicy(now);
@@ -351,7 +414,7 @@
 // Sends join requests to all contacts. Only the leader acts on them; other replicas reply with the addresses of the members.
 void StateServer::sendJoinRequests(TimePoint now)
 {
-    if (!m_membershipPolicy)
+    if (!m_membershipPolicy || m_leaveDeadline)
         return;
     if (m_replica->leader() != 0)
         m_lastLeaderSeen = now;
@@ -476,6 +539,10 @@
             Event(Level::Warn, "candidate_refused").with("id", candidate.id()).with("address", candidate.address());
         else if (m_membershipPolicy)
             m_membershipPolicy->onCandidate(now, candidate);
+    } else if (request.has_leave()) {
+        const bool mayStop
+            = !m_membershipPolicy || m_membershipPolicy->onLeaving(now, request.leave().id(), *m_replica) == LeaveVerdict::Stop;
+        answer.mutable_leave()->set_may_stop(mayStop);
     } else if (request.has_routing()) {
         *answer.mutable_routing()->mutable_routing() = m_registry.routing();
     }
--- a/fescuegw/state/StateServer.h
+++ b/fescuegw/state/StateServer.h
@@ -65,6 +65,8 @@
     Result<void> start();
     // Returns 0 after `stop`, or 1 after a disk error.
     int run();
+    // Ends `run`. A self-managed group removes this replica first if it has a voter to spare; that takes at most
+    // `leaveTimeout`. Thread-safe.
     void stop();
     bool ready() const { return m_ready; }
 
@@ -103,6 +105,10 @@
     void rejectPendingProposals();
     void runOwnershipPolicy(TimePoint now);
     void runMembershipPolicy(TimePoint now);
+    void leave(TimePoint now);
+    bool isMember() const;
+    void finishLeaving(std::string_view reason);
+    void sendTo(uint64_t replica, const wire::StateEnvelope&);
     void sendJoinRequests(TimePoint now);
     void addContacts(const wire::StateReply&);
     void connectMembers();
@@ -135,6 +141,10 @@
     std::set<std::string> m_contacts;
     TimePoint m_nextJoinRequest;
     TimePoint m_lastLeaderSeen;
+    // Set once this replica has been told to stop.
+    std::optional<TimePoint> m_leaveDeadline;
+    TimePoint m_nextLeaveRequest;
+    bool m_left = false;
     TimePoint m_nextPolicyRun;
     std::atomic<bool> m_ready { false };
     bool m_failed = false;
