Acknowledge nothing that rests on a spare voter which may be gone

Callers saw an acknowledged configuration that never came again when a replaced replica ended without a word (SIGKILL, power) and two more lost their disks: the same loss as after SIGTERM, on a related path.

Cause: until its silence counts, 1.5 s, the replica that has gone is one of 2n + 2 voters. Changes that were committed by four of six were acknowledged in that time, though the group could not bear the loss of two more.

Now a group with more voters than it needs acknowledges a change when all of them have it, or when it has removed one and that removal has been committed (MembershipPolicy::mayAcknowledge). Such a group is there only while a machine is replaced. Commits themselves take a majority as before.

--- a/fescuegw/state/FormationTest.cpp
+++ b/fescuegw/state/FormationTest.cpp
@@ -97,6 +97,17 @@
         return it != nullptr && std::find(it->applied.begin(), it->applied.end(), command) != it->applied.end();
     }
 
+    // Returns whether the leader acknowledges `command`.
+    bool acknowledges(const std::string& command)
+    {
+        const Host* it = leader();
+        if (it == nullptr || !hasCommitted(command))
+            return false;
+        const auto entry = std::find_if(it->disk.entries.begin(), it->disk.entries.end(),
+            [&](const wire::LogEntry& candidate) { return candidate.command() == command; });
+        return it->policy.mayAcknowledge(*it->replica, entry->index());
+    }
+
     void moveTo(size_t n, const std::string& address) { host(n).address = address; }
 
     void run(Duration duration)
@@ -379,3 +390,51 @@
         cr_assert_eq(std::count(voters.begin(), voters.end(), "host" + std::to_string(n)), 0, "seed %lu", seed);
     }
 }
+
+// A host that has been replaced ends without a word, and two more lose their disks right after a change was acknowledged.
+Test(Formation, whatIsAcknowledgedSurvivesTwoDisksAfterAReplacementWithoutAWord)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t added = group.addHost();
+        group.run(std::chrono::seconds(4));
+        cr_assert_eq(group.voters().size(), 6, "seed %lu", seed);
+        const size_t replaced = seed % 2 == 0 ? group.leaderNumber() : seed % 5;
+        group.stop(replaced);
+        // Callers send it again until it is acknowledged.
+        bool acknowledged = false;
+        for (int n = 0; n < 500 && !acknowledged; ++n) {
+            if (!group.hasCommitted("kept"))
+                group.propose("kept");
+            group.run(step);
+            acknowledged = group.acknowledges("kept");
+        }
+        cr_assert(acknowledged, "seed %lu", seed);
+        std::vector<size_t> rest;
+        for (size_t n = 0; n <= added; ++n)
+            if (n != replaced)
+                rest.push_back(n);
+        // Every third time the leader is among them.
+        const size_t first = seed % 3 == 0 ? group.leaderNumber() : rest[seed % 5];
+        group.replaceDisk(first);
+        group.replaceDisk(first == rest[(seed + 2) % 5] ? rest[(seed + 3) % 5] : rest[(seed + 2) % 5]);
+        group.run(std::chrono::seconds(8));
+        cr_assert(group.hasCommitted("kept"), "seed %lu", seed);
+    }
+}
+
+// While all six voters are there, a change is acknowledged without a change of the membership.
+Test(Formation, aGroupWithASpareVoterAcknowledgesAtOnce)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        group.addHost();
+        group.run(std::chrono::seconds(4));
+        cr_assert(group.propose("kept"), "seed %lu", seed);
+        group.run(std::chrono::milliseconds(60));
+        cr_assert(group.acknowledges("kept"), "seed %lu", seed);
+        cr_assert_eq(group.voters().size(), 6, "seed %lu", seed);
+    }
+}
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -55,6 +55,19 @@
     return LeaveVerdict::Wait;
 }
 
+// A group of 2n + 2 voters bears the loss of n, like one of 2n + 1. One of its voters may be replaced and gone for good without a
+// word, so an entry is acknowledged when all of them have it, or when the group has removed one. That removal counts once it has
+// been committed: until then it may be lost with the disk of the leader.
+bool MembershipPolicy::mayAcknowledge(const raft::Replica& replica, uint64_t index) const
+{
+    if (replica.isMembershipChanging())
+        return false;
+    const auto& members = replica.membership().members();
+    return !hasSurplusVoters(replica.membership()) || std::all_of(members.begin(), members.end(), [&](const wire::Member& it) {
+        return !it.voter() || replica.matchIndex(it.id()) >= index;
+    });
+}
+
 bool MembershipPolicy::hasSurplusVoters(const wire::Membership& membership) const
 {
     const auto voters = std::count_if(
--- a/fescuegw/state/MembershipPolicy.h
+++ b/fescuegw/state/MembershipPolicy.h
@@ -63,6 +63,10 @@
     // Records a join request of a non-voting replica.
     void onCandidate(TimePoint now, const wire::Member&);
 
+    // Returns whether the committed entry `index` may be acknowledged: the group keeps it and stays in service when as many disks
+    // are lost as it tolerates, also if one of its voters is not there. `replica` must be the leader.
+    bool mayAcknowledge(const raft::Replica& replica, uint64_t index) const;
+
     // Records that member `id`, possibly the leader itself, has been told to stop. Called again until the verdict is `Stop`.
     // `replica` must be the leader.
     LeaveVerdict onLeaving(TimePoint now, uint64_t id, const raft::Replica& replica);
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -353,6 +353,7 @@
     m_replica->synced(monotonicNow());
     if (m_replica->role() != raft::Role::Leader)
         rejectPendingProposals();
+    releaseReplies();
     updateMetrics(now);
 }
 
@@ -641,13 +642,27 @@
         wire::ProposeReply* proposed = answer.mutable_propose();
         for (size_t i = 0; i < it.resultCount; ++i)
             *proposed->add_results() = results[it.firstResult + i];
-        it.reply(answer);
+        m_withheldReplies.push_back({ entry.index(), it.requestId, std::move(answer), it.reply });
     }
     m_pendingProposals.erase(found);
 }
 
+void StateServer::releaseReplies()
+{
+    while (!m_withheldReplies.empty()) {
+        const WithheldReply& next = m_withheldReplies.front();
+        if (m_membershipPolicy && !m_membershipPolicy->mayAcknowledge(*m_replica, next.index))
+            return;
+        next.reply(next.answer);
+        m_withheldReplies.pop_front();
+    }
+}
+
 void StateServer::rejectPendingProposals()
 {
+    for (const auto& it : m_withheldReplies)
+        replyNotLeader(it.requestId, it.reply);
+    m_withheldReplies.clear();
     for (const auto& proposal : m_pendingProposals)
         for (const auto& it : proposal.second.requests)
             replyNotLeader(it.requestId, it.reply);
--- a/fescuegw/state/StateServer.h
+++ b/fescuegw/state/StateServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -87,6 +88,13 @@
         size_t firstResult = 0;
         size_t resultCount = 0;
     };
+    // A reply to a committed proposal that may not be given yet.
+    struct WithheldReply {
+        uint64_t index = 0;
+        uint64_t requestId = 0;
+        wire::StateReply answer;
+        ReplyHook reply;
+    };
     struct PendingProposal {
         uint64_t term = 0;
         std::vector<PendingRequest> requests;
@@ -102,6 +110,7 @@
     void onPropose(uint64_t requestId, const wire::ProposeRequest&, const ReplyHook&);
     void proposeBatch(TimePoint now);
     void applyEntry(const wire::LogEntry&);
+    void releaseReplies();
     void rejectPendingProposals();
     void runOwnershipPolicy(TimePoint now);
     void runMembershipPolicy(TimePoint now);
@@ -131,6 +140,7 @@
     wire::CommandBatch m_batch;
     std::vector<PendingRequest> m_batchRequests;
     std::map<uint64_t, PendingProposal> m_pendingProposals;
+    std::deque<WithheldReply> m_withheldReplies;
     uint64_t m_policyTerm = 0;
     uint64_t m_diskIdentity = 0;
     uint64_t m_loggedLeader = 0;
