A candidate does not remove a member that still answers

A replica with an empty disk that claimed the address of a member, for example by a wrong setting, had the member removed: the group relied on one replica less that held its entries.

Cause: the address in a request to join counted as proof that the member at that address had lost its disk.

The successor of a lost disk is added as fast as before, since the process before it answers nothing that was sent after it began.

--- a/fescuegw/state/FormationTest.cpp
+++ b/fescuegw/state/FormationTest.cpp
@@ -90,6 +90,14 @@
         return m_hosts.size();
     }
 
+    bool isMember(size_t n)
+    {
+        const Host* it = leader();
+        return it != nullptr
+            && std::any_of(it->replica->membership().members().begin(), it->replica->membership().members().end(),
+                [&](const wire::Member& member) { return member.id() == host(n).id; });
+    }
+
     // Returns whether the leader has committed `command`.
     bool hasCommitted(const std::string& command)
     {
@@ -438,3 +446,24 @@
         cr_assert_eq(group.voters().size(), 6, "seed %lu", seed);
     }
 }
+
+// A replica with an empty disk claims the address of a member that is there, for example by a wrong setting. The member was
+// removed, and its group then relied on one replica less that holds its entries.
+Test(Formation, aClaimOfAMembersAddressDoesNotRemoveTheMember)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t claimed = seed % 2 == 0 ? group.leaderNumber() : seed % 5;
+        const size_t added = group.addHost();
+        group.moveTo(added, group.host(claimed).address);
+        group.run(std::chrono::seconds(6));
+        cr_assert(group.isMember(claimed), "seed %lu", seed);
+        cr_assert_not(group.isMember(added), "seed %lu", seed);
+        // It joins once the member is gone.
+        group.stop(claimed);
+        group.run(std::chrono::seconds(6));
+        cr_assert(group.voters() == allHosts, "seed %lu", seed);
+        cr_assert(group.isMember(added), "seed %lu", seed);
+    }
+}
--- a/fescuegw/state/MembershipPolicy.cpp
+++ b/fescuegw/state/MembershipPolicy.cpp
@@ -84,11 +84,12 @@
     // An unresponsive learner would delay a change that can succeed, so it is removed before another member is added.
     if (auto change = chooseRemoval(now, replica))
         return change;
-    return chooseAddition(now, replica.membership());
+    return chooseAddition(now, replica);
 }
 
-std::optional<MembershipChange> MembershipPolicy::chooseAddition(TimePoint now, const wire::Membership& membership)
+std::optional<MembershipChange> MembershipPolicy::chooseAddition(TimePoint now, const raft::Replica& replica)
 {
+    const wire::Membership& membership = replica.membership();
     for (const auto& it : m_candidates) {
         const Candidate& candidate = it.second;
         const wire::Member* known = findMember(membership, it.first);
@@ -96,9 +97,18 @@
             || now < candidate.firstRequest)
             continue;
         MembershipChange change { MembershipChange::Kind::Add, candidate.member, 0 };
-        for (const auto& member : membership.members())
-            if (member.address() == candidate.member.address())
-                change.replaces = member.id();
+        const auto replaced = std::find_if(membership.members().begin(), membership.members().end(),
+            [&](const wire::Member& member) { return member.address() == candidate.member.address(); });
+        if (replaced != membership.members().end()) {
+            // The candidate claims that the member has lost its disk. That is not so if the member has answered since, and one
+            // that has ended later is silent.
+            const auto answered = replica.answeredAt(replaced->id());
+            const bool isThere = replaced->id() == replica.leader()
+                || (answered > candidate.firstRequest && now - *answered <= m_options.silenceTimeout);
+            if (isThere)
+                continue;
+            change.replaces = replaced->id();
+        }
         return change;
     }
     return std::nullopt;
--- a/fescuegw/state/MembershipPolicy.h
+++ b/fescuegw/state/MembershipPolicy.h
@@ -50,9 +50,9 @@
 // would meet an unusable address again at every start.
 bool hasUsableAddress(const wire::Member& member);
 
-// Chooses one membership change at a time. Adds candidates; a candidate at the address of a member has lost that member's
-// disk and replaces it. Removes non-voters that leave or are unresponsive, and such voters in excess of `minVoters`.
-// Holds only soft state of the leader. Not thread-safe.
+// Chooses one membership change at a time. Adds candidates; a candidate at the address of a member that does not answer any more
+// has lost that member's disk and replaces it. Removes non-voters that leave or are unresponsive, and such voters in excess of
+// `minVoters`. Holds only soft state of the leader. Not thread-safe.
 class MembershipPolicy {
 public:
     explicit MembershipPolicy(MembershipOptions);
@@ -81,7 +81,7 @@
         TimePoint lastRequest;
     };
 
-    std::optional<MembershipChange> chooseAddition(TimePoint now, const wire::Membership&);
+    std::optional<MembershipChange> chooseAddition(TimePoint now, const raft::Replica&);
     std::optional<MembershipChange> chooseRemoval(TimePoint now, const raft::Replica&);
     TimePoint lastHeardFrom(TimePoint now, const raft::Replica&, const wire::Member&);
     bool hasSurplusVoters(const wire::Membership&) const;
