A replica that has been told to stop starts no elections

Callers are not affected; the platform kills such a process.

Cause: when a group is stopped as a whole, its leader ends first. Since the others wait for a leader before they end, and in that time held elections, whose writes have to reach the disk. The last line of each such replica is that of its candidacy, and one sync took 126 s on that machine in that hour.

Now a replica that is told to stop votes on and starts no elections (Replica::retire).

--- a/fescuegw/raft/Replica.cpp
+++ b/fescuegw/raft/Replica.cpp
@@ -101,7 +101,7 @@
 void Replica::startElection(TimePoint now, bool preVote)
 {
     resetElectionTimer(now);
-    if (!isVoter(m_options.id))
+    if (!isVoter(m_options.id) || m_retired)
         return;
     m_leader = 0;
     m_role = preVote ? Role::PreCandidate : Role::Candidate;
--- a/fescuegw/raft/Replica.h
+++ b/fescuegw/raft/Replica.h
@@ -99,6 +99,9 @@
     // Starts a membership change that removes member `id`. Returns the reason for a refusal, or "".
     std::string removeMember(TimePoint now, uint64_t id);
 
+    // Starts no elections from now on. Votes, and follows or leads, as before.
+    void retire() { m_retired = true; }
+
     // Returns whether this replica leads and a quorum has confirmed it within the lease, so that its applied state is current.
     bool hasLease(TimePoint now) const;
 
@@ -169,6 +172,7 @@
     uint64_t m_membershipIndex = 0;
 
     Role m_role = Role::Follower;
+    bool m_retired = false;
     uint64_t m_leader = 0;
     uint64_t m_commitIndex = 0;
     uint64_t m_appliedIndex = 0;
--- a/fescuegw/state/FormationTest.cpp
+++ b/fescuegw/state/FormationTest.cpp
@@ -72,7 +72,11 @@
 
     void stop(size_t n) { host(n).replica.reset(); }
     // The host takes part until the group lets it go.
-    void stopInOrder(size_t n) { host(n).leaving = true; }
+    void stopInOrder(size_t n)
+    {
+        host(n).leaving = true;
+        host(n).replica->retire();
+    }
     bool isStopped(size_t n) { return !host(n).replica; }
     // Restarts the host with an empty disk.
     void replaceDisk(size_t n)
@@ -467,3 +471,25 @@
         cr_assert(group.isMember(added), "seed %lu", seed);
     }
 }
+
+// All hosts are told to stop, and each group is left without a quorum. The rest held elections, whose writes a slow disk delays
+// for longer than processes may take to stop.
+Test(Formation, aGroupThatIsStoppedAsAWholeHoldsNoElection)
+{
+    for (uint64_t seed = 1; seed <= randomSeedCount; ++seed) {
+        Group group(seed);
+        group.run(std::chrono::seconds(5));
+        const size_t leader = group.leaderNumber();
+        const uint64_t term = group.host(leader).replica->term();
+        // The leader has ended before the others ask it.
+        group.stopInOrder(leader);
+        group.run(std::chrono::milliseconds(20));
+        cr_assert(group.isStopped(leader), "seed %lu", seed);
+        for (size_t n = 0; n < 5; ++n)
+            if (n != leader)
+                group.stopInOrder(n);
+        group.run(std::chrono::seconds(3));
+        for (size_t n = 0; n < 5; ++n)
+            cr_assert_eq(group.host(n).disk.hardState.term(), term, "seed %lu host %zu", seed, n);
+    }
+}
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -254,6 +254,8 @@
         if (m_leaveDeadline)
             return;
         m_leaveDeadline = now + leaveTimeout;
+        // Its election would be of no use, and make a group that is stopped as a whole wait for its disks.
+        m_replica->retire();
         Event(Level::Info, "replica_leaving")
             .with("voter", m_replica->votes() ? "yes" : "no")
             .with("leader", m_replica->leader());
