Drain of a failure domain: replicated, enforced by agents

An operator had no means to keep work away from the upstreams of a failure domain; the order was answered 404.

The set of drained domains is part of the replicated state and of the view that agents follow. An agent refuses starts, gives no grants and repeats no start while the domain that its upstream announces is drained; runs in progress go on. A leader that does not know the entries yet sends observers no view, since agents would take an empty list for a group without entries. An upstream that announces that it is cold gets its capacity in four steps.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -63,6 +63,7 @@
     , m_lost(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "lost"))
     , m_notStarted(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "not_started"))
     , m_running(metrics.gauge("fescuegw_agent_running", "Attempts that hold room"))
+    , m_drained(metrics.gauge("fescuegw_agent_drained", "1 while the failure domain of the upstream is drained"))
     , m_grants(metrics.counter("fescuegw_agent_grants_total", "Grants of room to entries"))
     , m_run(metrics.latency("fescuegw_agent_run_ms", "How long attempts ran"))
 {
@@ -151,6 +152,7 @@
 
 void ArbiterServer::onView(TimePoint now, const wire::View& view)
 {
+    m_table.setDrainedDomains(now, { view.drained_domains().begin(), view.drained_domains().end() });
     for (const auto& it : m_links.onView(now, view)) {
         m_lastEntryAddedAt = now;
         m_hub->connect(entryLinkName(it.address()), it.address());
@@ -221,6 +223,7 @@
         m_upstream->hold(now, m_table.nextHold(now));
     }
     m_running.Set(static_cast<double>(m_table.running()));
+    m_drained.Set(m_table.isDomainDrained() ? 1 : 0);
     m_ready = m_table.accepting(now);
     if (drained(now))
         m_hub->stop();
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -81,6 +81,7 @@
     prometheus::Counter& m_lost;
     prometheus::Counter& m_notStarted;
     prometheus::Gauge& m_running;
+    prometheus::Gauge& m_drained;
     prometheus::Counter& m_grants;
     prometheus::Histogram& m_run;
 };
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -60,6 +60,9 @@
             .with("address", next.address);
     }
     adoptAnnouncement();
+    if (next.bornMs == m_bornMs)
+        m_warmUp.onAnnouncement(now, next.coldFor);
+    logDomainDrain();
     tick(now);
     return true;
 }
@@ -129,9 +132,12 @@
     m_clock.reset();
     m_slowness.reset();
     m_health = UpstreamHealth();
+    m_warmUp.reset();
     if (m_claimedBornMs == bornMs)
         m_claimedBornMs = std::nullopt;
     adoptAnnouncement();
+    if (const AnnouncementBook::Claim* claim = m_announcements.find(m_bornMs); claim != nullptr)
+        m_warmUp.onAnnouncement(now, claim->announcement.coldFor);
 }
 
 // Runs that were listed by the process that has ended are lost with it. The others may be at work in the next one: it may have
@@ -230,7 +236,7 @@
 std::string RunTable::refusalReason(TimePoint now, const Run& run)
 {
     if (!accepting(now))
-        return "not_accepting";
+        return isDomainDrained() ? "domain_drained" : "not_accepting";
     if (!m_health.admits(now, running()))
         return "ejected";
     if (m_entryLeases[run.entry] <= now)
@@ -239,7 +245,7 @@
         return "too_late";
     if (startLease(now) < minStartLease)
         return "leases_ending";
-    return run.need.fitsInto(free()) ? "" : "no_room";
+    return run.need.fitsInto(free(now)) ? "" : "no_room";
 }
 
 void RunTable::onStop(TimePoint now, const std::string& entry, const wire::AttemptKey& key)
@@ -813,16 +819,36 @@
     tick(now);
 }
 
+void RunTable::setDrainedDomains(TimePoint now, std::set<std::string> domains)
+{
+    m_drainedDomains = std::move(domains);
+    logDomainDrain();
+    tick(now);
+}
+
+void RunTable::logDomainDrain()
+{
+    if (isDomainDrained() == m_drainLogged)
+        return;
+    m_drainLogged = isDomainDrained();
+    Event(Level::Info, m_drainLogged ? "upstream_drained" : "upstream_returned")
+        .with("domain", m_announcement ? m_announcement->domain : std::string())
+        .with("runs", running());
+}
+
 bool RunTable::accepting(TimePoint now) const
 {
     return m_announcement && !m_announcement->leaving && m_announcement->bornMs == m_bornMs && !m_departed && !m_draining
-        && m_orphans.empty() && (m_foreignRunsKnown || (m_foreignRunsGoneAt && now > *m_foreignRunsGoneAt)) && !m_renewalWithheld
-        && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
+        && !isDomainDrained() && m_orphans.empty() && (m_foreignRunsKnown || (m_foreignRunsGoneAt && now > *m_foreignRunsGoneAt))
+        && !m_renewalWithheld && m_lastListingAt && now - *m_lastListingAt <= m_options.listingTimeout;
 }
 
-Resources RunTable::free() const
+Resources RunTable::free(TimePoint now) const
 {
     Resources free = m_announcement ? m_announcement->capacity : Resources();
+    // A single task may need more than the first step of the warm-up.
+    if (!m_runs.empty() || m_grants.reservationCount() > 0)
+        free = m_warmUp.usable(now, free);
     for (const auto& it : m_runs)
         free -= it.second.need;
     return free - m_grants.reserved();
@@ -833,7 +859,7 @@
     if (!accepting(now) || !m_health.admits(now, running() + m_grants.reservationCount()))
         return;
     const size_t maxGrants = m_health.ejected() ? 1 : std::numeric_limits<size_t>::max();
-    for (const auto& it : m_grants.grant(now, free(), maxGrants))
+    for (const auto& it : m_grants.grant(now, free(now), maxGrants))
         m_hooks.grant(it.entry, it.grant);
 }
 
@@ -848,7 +874,7 @@
     for (const auto& it : m_announcement->labels)
         offer.add_labels(it);
     *offer.mutable_capacity() = wire::toWire(m_announcement->capacity);
-    *offer.mutable_free() = wire::toWire(free());
+    *offer.mutable_free() = wire::toWire(free(now));
     // An ejected upstream is offered for its probe task only.
     offer.set_accepting(accepting(now) && m_health.admits(now, running()));
     offer.set_slowness_percent(m_slowness.percent());
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -18,6 +18,7 @@
 #include "fescuegw/arbiter/Upstream.h"
 #include "fescuegw/arbiter/UpstreamClock.h"
 #include "fescuegw/arbiter/UpstreamHealth.h"
+#include "fescuegw/arbiter/WarmUp.h"
 
 namespace fescuegw::arbiter {
 
@@ -92,6 +93,9 @@
 
     // Stops accepting starts; present runs continue.
     void drain(TimePoint now);
+    // Replaces the failure domains on whose upstreams nothing may be started. Present runs continue.
+    void setDrainedDomains(TimePoint now, std::set<std::string> domains);
+    bool isDomainDrained() const { return m_announcement && m_drainedDomains.contains(m_announcement->domain); }
 
     wire::UpstreamOffer offer(TimePoint now) const;
     const std::optional<Announcement>& announcement() const { return m_announcement; }
@@ -207,9 +211,10 @@
     void expireUpstreamLeases(TimePoint now);
     void enforceEntryLeases(TimePoint now);
     void issueGrants(TimePoint now);
+    void logDomainDrain();
     std::string refusalReason(TimePoint now, const Run&);
     // Returns the resources that are neither reserved by runs nor granted.
-    Resources free() const;
+    Resources free(TimePoint now) const;
     uint64_t nextRunNumber(TimePoint now, const StepTask&, uint32_t attempt);
 
     RunTableOptions m_options;
@@ -264,6 +269,10 @@
     std::vector<wire::AttemptKey> m_possiblyCrashed;
     bool m_departed = false;
     bool m_draining = false;
+    std::set<std::string> m_drainedDomains;
+    // The last value of `isDomainDrained` that was logged.
+    bool m_drainLogged = false;
+    WarmUp m_warmUp;
 };
 
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -26,15 +26,17 @@
         list({}, {}, complete);
     }
 
-    void announce(uint64_t born, uint64_t sequence, bool leaving, const std::string& instance = "i-1")
+    void announce(uint64_t born, uint64_t sequence, bool leaving, const std::string& instance = "i-1", Duration coldFor = {})
     {
         Announcement it;
         it.instance = instance;
         it.bornMs = born;
         it.sequence = sequence;
         it.service = "s";
+        it.domain = "d1";
         it.capacity = { 64000, 262144, 0 };
         it.leaving = leaving;
+        it.coldFor = coldFor;
         accepted = table.onAnnouncement(now, it);
         incarnation = std::max(incarnation, born);
     }
@@ -1443,3 +1445,49 @@
     cr_assert_eq(agent.table.running(), 0);
     cr_assert_eq(agent.lastReason(), "lease_lapsed");
 }
+
+// A drained domain must get no new work, also through grants and repeated starts, while its runs go on.
+Test(RunTable, aDrainedDomainStartsNothingAndKeepsItsRuns)
+{
+    Agent agent;
+    agent.start("e1/1", "a");
+    agent.confirm();
+    agent.start("e1/1", "unanswered");
+    const size_t sent = agent.starts.size();
+    agent.table.setDrainedDomains(agent.now, { "d1", "d2" });
+    cr_assert_not(agent.table.offer(agent.now).accepting());
+    agent.start("e1/1", "b");
+    cr_assert_eq(agent.lastState(), wire::ATTEMPT_NOT_STARTED);
+    cr_assert_eq(agent.lastReason(), "domain_drained");
+    agent.table.onStartReply(agent.now, agent.starts.back().first, StartVerdict::Unanswered);
+    cr_assert_eq(agent.starts.size(), sent, "a start was sent again");
+    auto demand = agent.message("e2/1");
+    demand.mutable_demand()->set_tasks(1);
+    demand.mutable_demand()->mutable_need()->set_cores_milli(1000);
+    agent.table.onEntry(agent.now, demand);
+    cr_assert(agent.grants.empty());
+    cr_assert(agent.stops.empty());
+    cr_assert_geq(agent.table.running(), 1U);
+    agent.table.setDrainedDomains(agent.now, { "d2" });
+    cr_assert(agent.table.offer(agent.now).accepting());
+    agent.start("e1/1", "c");
+    cr_assert_eq(agent.starts.size(), sent + 1);
+}
+
+// A domain that comes back cold would be filled at once by the entries' backlog.
+Test(RunTable, aColdUpstreamIsFilledInSteps)
+{
+    Agent agent;
+    agent.announce(1, 2, false, "i-1", ms(400));
+    const auto startsOf = [&](const std::string& prefix) {
+        const size_t before = agent.starts.size();
+        for (int n = 0; n < 10; ++n)
+            agent.start("e1/1", prefix + std::to_string(n), 8000);
+        return agent.starts.size() - before;
+    };
+    cr_assert_eq(startsOf("first"), 2U);
+    agent.advance(ms(101));
+    cr_assert_eq(startsOf("second"), 2U);
+    agent.announce(1, 3, false, "i-1", Duration());
+    cr_assert_eq(startsOf("warm"), 4U);
+}
--- a/fescuegw/arbiter/Upstream.h
+++ b/fescuegw/arbiter/Upstream.h
@@ -26,6 +26,8 @@
     std::vector<std::string> labels;
     Resources capacity;
     bool leaving = false;
+    // How much longer the upstream is slower than usual, since it has started or was idle.
+    Duration coldFor {};
 
     friend bool operator==(const Announcement&, const Announcement&) = default;
 };
--- a/fescuegw/registry/Registry.cpp
+++ b/fescuegw/registry/Registry.cpp
@@ -55,6 +55,8 @@
         return assign(command.assign());
     case wire::Command::kReplaceRouting:
         return replaceRouting(command.replace_routing());
+    case wire::Command::kSetDomainDrain:
+        return setDomainDrain(command.set_domain_drain());
     case wire::Command::BODY_NOT_SET:
         break;
     }
@@ -108,6 +110,25 @@
     return accepted;
 }
 
+// The last order for a domain holds. An order that changes nothing is accepted, since operators repeat orders whose answer was
+// lost.
+wire::CommandResult Registry::setDomainDrain(const wire::SetDomainDrain& order)
+{
+    if (!isValidName(order.domain()))
+        return result(wire::CONFLICT, "domain: a name of letters, digits and . _ -");
+    const bool drained = m_drainedDomains.contains(order.domain());
+    if (drained == order.drained())
+        return result(wire::REPEATED);
+    if (order.drained() && m_drainedDomains.size() >= m_limits.drainedDomains)
+        return result(wire::CONFLICT, "at most " + std::to_string(m_limits.drainedDomains) + " domains may be drained");
+    if (order.drained())
+        m_drainedDomains.insert(order.domain());
+    else
+        m_drainedDomains.erase(order.domain());
+    ++m_revision;
+    return result(wire::ACCEPTED);
+}
+
 void Registry::recordChange(const wire::ChangeRecord& record)
 {
     m_changes[record.change_id()] = record;
@@ -243,6 +264,8 @@
     state.set_revision(m_revision);
     state.set_time_ms(m_timeMs);
     *state.mutable_routing() = m_routing;
+    for (const auto& it : m_drainedDomains)
+        state.add_drained_domains(it);
     for (const auto& it : m_teams)
         *state.add_teams() = it.second;
     for (const auto& it : m_ownerships)
@@ -269,6 +292,7 @@
     m_revision = state.revision();
     m_timeMs = state.time_ms();
     m_routing = state.routing();
+    m_drainedDomains = { state.drained_domains().begin(), state.drained_domains().end() };
     for (const auto& it : state.teams())
         m_teams[it.team()] = it;
     for (const auto& it : state.ownerships())
@@ -295,6 +319,8 @@
     wire::View view;
     view.set_revision(m_revision);
     view.set_configuration_version(m_configurationVersion);
+    for (const auto& it : m_drainedDomains)
+        view.add_drained_domains(it);
     for (const auto& it : m_teams)
         *view.add_teams() = it.second;
     for (const auto& it : m_ownerships)
--- a/fescuegw/registry/Registry.h
+++ b/fescuegw/registry/Registry.h
@@ -1,10 +1,12 @@
-// The replicated state machine: team configurations, service ownership, enrolled agents, claims and outcomes.
+// The replicated state machine: team configurations, routing, drained domains, service ownership, enrolled agents, claims and
+// outcomes.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,8 @@
     // Total size of the stored answers; when it is exceeded, the oldest answers are dropped, but not their claims.
     size_t answerBytes = 128U << 20U;
     size_t changes = 4096;
+    // Drained failure domains. Domains need not be known, so a mistyped name takes a place until it is withdrawn.
+    size_t drainedDomains = 256;
 };
 
 // Applies commands in log order. Every replica that applies the same batches holds the same state. Not thread-safe.
@@ -45,6 +49,9 @@
     // Returns the current routing; version 0 if none has been set.
     const wire::Routing& routing() const { return m_routing; }
 
+    // Returns the failure domains that are drained.
+    const std::set<std::string>& drainedDomains() const { return m_drainedDomains; }
+
     uint64_t revision() const { return m_revision; }
     uint64_t configurationVersion() const { return m_configurationVersion; }
     const std::map<std::string, wire::TeamConfiguration>& teams() const { return m_teams; }
@@ -67,6 +74,7 @@
     wire::CommandResult retire(const wire::Enrolment&);
     wire::CommandResult assign(const wire::Ownership&);
     wire::CommandResult replaceRouting(const wire::Routing&);
+    wire::CommandResult setDomainDrain(const wire::SetDomainDrain&);
     bool isCurrentOwner(const std::string& service, const std::string& owner, uint64_t epoch) const;
     bool isCurrentEpoch(const wire::Enrolment&) const;
     void recordChange(const wire::ChangeRecord&);
@@ -77,6 +85,7 @@
     uint64_t m_configurationVersion = 0;
     uint64_t m_revision = 0;
     wire::Routing m_routing;
+    std::set<std::string> m_drainedDomains;
     std::map<std::string, wire::TeamConfiguration> m_teams;
     std::map<std::string, wire::Ownership> m_ownerships;
     std::map<std::string, std::map<AgentId, wire::Enrolment>> m_enrolments;
--- a/fescuegw/registry/RegistryTest.cpp
+++ b/fescuegw/registry/RegistryTest.cpp
@@ -145,4 +145,35 @@
     }
 }
 
+// An operator repeats orders whose answer was lost; a drain that was acknowledged must be in every snapshot and view.
+Test(registry, drainsOfDomainsAreKeptAndRepeatedOrdersChangeNothing)
+{
+    Limits limits;
+    limits.drainedDomains = 2;
+    Registry registry(limits);
+    const auto order = [&](const std::string& domain, bool drained) {
+        wire::Command command;
+        command.mutable_set_domain_drain()->set_domain(domain);
+        command.mutable_set_domain_drain()->set_drained(drained);
+        return apply(registry, command).code();
+    };
+    cr_assert_eq(order("d1", false), wire::REPEATED);
+    cr_assert_eq(registry.revision(), 0U);
+    cr_assert_eq(order("d1", true), wire::ACCEPTED);
+    cr_assert_eq(order("d1", true), wire::REPEATED);
+    cr_assert_eq(registry.revision(), 1U);
+    cr_assert_eq(order("d2", true), wire::ACCEPTED);
+    cr_assert_eq(order("d3", true), wire::CONFLICT);
+    for (const std::string& it : std::vector<std::string> { "", "a/b", std::string(129, 'd') })
+        cr_assert_eq(order(it, true), wire::CONFLICT, "%s", it.c_str());
+    Registry restored(limits);
+    restored.restore(registry.capture());
+    cr_assert_eq(restored.view().drained_domains_size(), 2);
+    cr_assert_eq(restored.view().drained_domains(0), "d1");
+    cr_assert_eq(restored.revision(), 2U);
+    cr_assert_eq(order("d1", false), wire::ACCEPTED);
+    cr_assert_eq(order("d3", true), wire::ACCEPTED);
+    cr_assert_eq(registry.view().drained_domains(1), "d3");
+}
+
 } // namespace fescuegw::registry
--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -104,6 +104,7 @@
     , m_leading(metrics.gauge("fescuegw_state_leading", "1 while this replica leads"))
     , m_commitIndex(metrics.gauge("fescuegw_state_commit_index", "Index of the last committed entry"))
     , m_term(metrics.gauge("fescuegw_state_term", "Current term"))
+    , m_drainedDomains(metrics.gauge("fescuegw_state_drained_domains", "Failure domains that are drained"))
 {
 }
 
@@ -366,6 +367,7 @@
     m_leading.Set(isLeader ? 1 : 0);
     m_commitIndex.Set(static_cast<double>(m_replica->commitIndex()));
     m_term.Set(static_cast<double>(m_replica->term()));
+    m_drainedDomains.Set(static_cast<double>(m_registry.drainedDomains().size()));
 }
 
 // Keeps the links to configured members, which may be needed before this replica knows a membership.
@@ -567,6 +569,9 @@
     const uint64_t entriesRevision = entriesKnown ? m_ownershipPolicy.entriesRevision(now) : heartbeat.known_entries_revision();
     if (heartbeat.known_revision() == m_registry.revision() && heartbeat.known_entries_revision() == entriesRevision)
         return reply;
+    // An observer would take a view without entries for a group that has none. It asks again.
+    if (isObserver && !entriesKnown)
+        return reply;
     wire::View& view = *reply.mutable_view();
     view = m_registry.view();
     view.set_entries_revision(entriesRevision);
@@ -630,6 +635,7 @@
         return;
     }
     const std::vector<wire::CommandResult> results = m_registry.apply(batch);
+    logDomainDrains(batch, results);
     m_commands.Increment(static_cast<double>(results.size()));
     const auto found = m_pendingProposals.find(entry.index());
     if (found == m_pendingProposals.end())
@@ -649,6 +655,21 @@
     m_pendingProposals.erase(found);
 }
 
+void StateServer::logDomainDrains(const wire::CommandBatch& batch, const std::vector<wire::CommandResult>& results) const
+{
+    for (size_t i = 0; i < results.size(); ++i) {
+        const wire::Command& command = batch.commands(static_cast<int>(i));
+        if (!command.has_set_domain_drain() || results[i].code() == wire::REPEATED)
+            continue;
+        Event(Level::Info, "domain_drain_changed")
+            .with("domain", command.set_domain_drain().domain())
+            .with("drained", command.set_domain_drain().drained() ? "yes" : "no")
+            .with("refused", results[i].detail().empty() ? "no" : results[i].detail())
+            .with("drained_domains", m_registry.drainedDomains().size())
+            .with("revision", m_registry.revision());
+    }
+}
+
 void StateServer::releaseReplies()
 {
     while (!m_withheldReplies.empty()) {
--- a/fescuegw/state/StateServer.h
+++ b/fescuegw/state/StateServer.h
@@ -110,6 +110,7 @@
     void onPropose(uint64_t requestId, const wire::ProposeRequest&, const ReplyHook&);
     void proposeBatch(TimePoint now);
     void applyEntry(const wire::LogEntry&);
+    void logDomainDrains(const wire::CommandBatch&, const std::vector<wire::CommandResult>&) const;
     void releaseReplies();
     void rejectPendingProposals();
     void runOwnershipPolicy(TimePoint now);
@@ -164,6 +165,7 @@
     prometheus::Gauge& m_leading;
     prometheus::Gauge& m_commitIndex;
     prometheus::Gauge& m_term;
+    prometheus::Gauge& m_drainedDomains;
 };
 
 } // namespace fescuegw::state
