Entries shed load by priority while tasks wait too long

Load beyond the capacity made jobs wait until their slack was used up: they were refused late, or started too late and used capacity for nothing, and urgent wide jobs were late by their last task.

--- a/fescuegw/direct/Admission.cpp
+++ b/fescuegw/direct/Admission.cpp
@@ -35,4 +35,12 @@
     return std::max(slack, Duration());
 }
 
+JobCost Admission::cost(const JobRequest& request)
+{
+    JobCost cost { request.route.priority(), 0 };
+    for (const auto& it : request.job.steps)
+        cost.work += static_cast<double>(it.need.coresMilli) * it.count * it.estimateMs;
+    return cost;
+}
+
 } // namespace fescuegw::direct
--- a/fescuegw/direct/Admission.h
+++ b/fescuegw/direct/Admission.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "fescuegw/direct/Job.h"
+#include "fescuegw/direct/LoadShedder.h"
 
 namespace fescuegw::direct {
 
@@ -37,6 +38,9 @@
     // Returns whether to accept a job when tasks that precede its own have been waiting for `waited`.
     bool admits(const JobRequest& request, Duration waited) const { return waited <= maxWait(request); }
 
+    // Returns what the job takes from others.
+    static JobCost cost(const JobRequest&);
+
     uint32_t retryAfter() const { return m_options.retryAfterS; }
 
 private:
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -44,7 +44,8 @@
     task.waitingSince = task.waitingSince.value_or(now);
     const StepTask key { job.request.id, static_cast<uint32_t>(step), static_cast<uint32_t>(index) };
     m_queue.add(queuePosition(job, step, index),
-        { key, job.request.route.service(), job.request.job.steps[step].need, *task.waitingSince });
+        { key, job.request.route.service(), job.request.job.steps[step].need, *task.waitingSince,
+            m_admission.maxWait(job.request) });
 }
 
 void JobTable::dequeue(Job& job)
@@ -149,6 +150,7 @@
     AgentView* view = m_offers.find(placed.agent);
     Task& task = job.steps[step].tasks[index];
     const StepDemand& demand = job.request.job.steps[step];
+    m_shedder.onWait(job.request.route.priority(), now - task.waitingSince.value_or(now), m_admission.maxWait(job.request));
     if (task.queued)
         m_queue.remove(queuePosition(job, step, index));
     task.queued = false;
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -15,6 +15,7 @@
     : m_options(options)
     , m_hooks(std::move(hooks))
     , m_admission(options.admission)
+    , m_shedder(options.shedding, m_hooks.random)
     , m_offers(options.offers)
     , m_offerPace(options.offerPace)
     , m_placement(options.placement, m_hooks.random)
@@ -73,7 +74,7 @@
     // A caller may submit a job again before the attempts of its previous submission are known to have ended.
     const std::string reason = busy ? "earlier_attempts_ending" : refusalReason(now, job);
     if (!reason.empty()) {
-        answer(now, job, { JobOutcome::Kind::NotRun, reason, m_admission.retryAfter() });
+        answer(now, job, refusal(reason));
         return;
     }
     ++m_counters.admitted;
@@ -83,7 +84,7 @@
 }
 
 // Returns why a job is refused on submission, or "" when it is accepted.
-std::string JobTable::refusalReason(TimePoint now, const Job& job) const
+std::string JobTable::refusalReason(TimePoint now, const Job& job)
 {
     const wire::Route& route = job.request.route;
     if (m_jobs.size() >= m_options.maxJobs)
@@ -101,7 +102,23 @@
             return "no_upstream_fits";
     }
     const Duration waited = m_queue.longestWait(now, route.service(), route.priority());
-    return m_admission.admits(job.request, waited) ? "" : "line_of_" + std::to_string(toMs(waited)) + "_ms";
+    if (!m_admission.admits(job.request, waited))
+        return "line_of_" + std::to_string(toMs(waited)) + "_ms";
+    return m_shedder.admits(now, Admission::cost(job.request)) ? "" : "overload";
+}
+
+JobOutcome JobTable::refusal(const std::string& reason) const
+{
+    return { JobOutcome::Kind::NotRun, reason, std::max(m_admission.retryAfter(), m_shedder.retryAfterS()) };
+}
+
+void JobTable::updateShedding(TimePoint now)
+{
+    if (!m_shedder.isDue(now))
+        return;
+    for (const auto& it : m_queue.tasks())
+        m_shedder.onWait(it.first.priority, now - it.second.since, it.second.slack);
+    m_shedder.update(now);
 }
 
 wire::EntryToUpstream& JobTable::outbox(const AgentId& agent) { return m_outbox[agent]; }
@@ -119,7 +136,7 @@
         return;
     }
     if (job.outstanding == 0) {
-        answer(now, job, { JobOutcome::Kind::NotRun, reason, m_admission.retryAfter() });
+        answer(now, job, refusal(reason));
         return;
     }
     if (job.refusing)
@@ -249,6 +266,7 @@
     if (now < m_tickDue)
         return;
     m_tickDue = now + m_options.tickInterval;
+    updateShedding(now);
     std::vector<AgentId> lost;
     for (const auto& it : m_offers.agents())
         if (it.second.attempts > 0 && now - it.second.lastHeard > m_options.agentLossTimeout)
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -15,6 +15,7 @@
 #include "fescuegw/direct/CrashHistory.h"
 #include "fescuegw/direct/DemandNotifier.h"
 #include "fescuegw/direct/Job.h"
+#include "fescuegw/direct/LoadShedder.h"
 #include "fescuegw/direct/OfferPace.h"
 #include "fescuegw/direct/OfferTable.h"
 #include "fescuegw/direct/PendingTaskQueue.h"
@@ -25,6 +26,7 @@
 // docs/PLATFORM.md derives the bounds that follow from these leases.
 struct JobTableOptions {
     AdmissionOptions admission;
+    LoadShedderOptions shedding;
     PlacementOptions placement;
     OfferTableOptions offers;
     // After this silence of an agent, no attempt that it started for this entry can still run. Covers the agent's lease for the
@@ -121,6 +123,8 @@
     const OfferTable& offers() const { return m_offers; }
     size_t waiting() const { return m_queue.size(); }
     const JobCounters& counters() const { return m_counters; }
+    const LoadShedder& shedder() const { return m_shedder; }
+    Duration objective(const JobRequest& request) const { return m_admission.objective(request); }
 
 private:
     enum class TaskState : uint8_t {
@@ -187,7 +191,9 @@
 
     void checkCallers(TimePoint now);
     void abandon(TimePoint now, const std::set<uint64_t>& exchanges);
-    std::string refusalReason(TimePoint now, const Job&) const;
+    std::string refusalReason(TimePoint now, const Job&);
+    void updateShedding(TimePoint now);
+    JobOutcome refusal(const std::string& reason) const;
     bool isReady(const Job&, size_t step) const;
     void enqueueReady(TimePoint now, Job&);
     void enqueue(TimePoint now, Job&, size_t step, size_t index);
@@ -226,6 +232,7 @@
     JobTableOptions m_options;
     JobTableHooks m_hooks;
     Admission m_admission;
+    LoadShedder m_shedder;
     OfferTable m_offers;
     OfferPace m_offerPace;
     Placement m_placement;
--- a/fescuegw/direct/PendingTaskQueue.h
+++ b/fescuegw/direct/PendingTaskQueue.h
@@ -17,6 +17,8 @@
     std::string service;
     Resources need;
     TimePoint since;
+    // How long a task of its job may wait without making the job late.
+    Duration slack {};
 };
 
 // Sort key of a pending task. Within one priority, jobs of which tasks have started come first, since the work done for them
