--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -1,6 +1,7 @@
 #include "fescuegw/direct/DirectServer.h"
 
 #include <algorithm>
+#include <array>
 
 #include "fescuegw/group/Seeds.h"
 #include "fescuegw/logging/Log.h"
@@ -34,6 +35,25 @@
         return answer;
     }
 
+    JobTableOptions jobTableOptions(const DirectSettings& settings)
+    {
+        JobTableOptions options;
+        options.shedding.enabled = settings.loadShedding;
+        return options;
+    }
+
+    // Priorities from this one on share one label.
+    constexpr uint32_t maxLabelledPriority = 3;
+    constexpr std::array refusalCauses { "overload", "line", "waited_too_long", "no_upstream", "stopping", "other" };
+
+    // Returns the index of the cause that a refusal's reason belongs to. Reasons may continue with figures.
+    size_t refusalCause(const std::string& reason)
+    {
+        const auto* found
+            = std::find_if(refusalCauses.begin(), refusalCauses.end(), [&](const char* it) { return reason.starts_with(it); });
+        return found == refusalCauses.end() ? refusalCauses.size() - 1 : static_cast<size_t>(found - refusalCauses.begin());
+    }
+
 } // namespace
 
 DirectSettings readDirectSettings(settings::Document& document)
@@ -44,6 +64,7 @@
     settings.advertised = document.addressOr("entry", "advertise", settings.listen);
     settings.balancerGrace = std::chrono::milliseconds(document.numberOr("entry", "balancer-grace-ms", 3000, 0, 600000));
     settings.drainLimit = std::chrono::milliseconds(document.numberOr("entry", "drain-limit-ms", 4800, 0, 3600000));
+    settings.loadShedding = document.flagOr("entry", "load-shedding", true);
     settings.seeds = group::readSeeds(document);
     return settings;
 }
@@ -64,9 +85,32 @@
         , crashes(metrics.gauge("fescuegw_entry_crashes_under_tasks", "Crashes of upstreams, once for each task that was there"))
         , endedByCrashes(metrics.gauge(
               "fescuegw_entry_jobs_ended_by_crashes", "Submissions that ended since a task lost too many upstreams"))
+        , admittedPercent(
+              metrics.gauge("fescuegw_entry_admitted_percent", "Share of the less urgent jobs that load shedding admits"))
+        , urgentAdmittedPercent(
+              metrics.gauge("fescuegw_entry_urgent_admitted_percent", "Share of the most urgent jobs that load shedding admits"))
         , completedMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "completed"))
         , otherMs(metrics.latency("fescuegw_entry_job_ms", "Time until jobs were answered, by outcome", "other"))
     {
+        for (const char* cause : refusalCauses)
+            for (uint32_t priority = 0; priority <= maxLabelledPriority; ++priority)
+                refused.push_back(&metrics.counter("fescuegw_entry_refused_total", "Jobs refused, by cause and priority",
+                    std::string(cause) + "_p" + std::to_string(priority)));
+        for (const char* when : { "in_time", "late" })
+            for (uint32_t priority = 0; priority <= maxLabelledPriority; ++priority)
+                answers.push_back(
+                    &metrics.counter("fescuegw_entry_answers_total", "Jobs completed, by their latency objective and priority",
+                        std::string(when) + "_p" + std::to_string(priority)));
+    }
+
+    // Counts a job that was refused or completed.
+    void count(const JobRequest& request, const JobOutcome& outcome, bool late)
+    {
+        const size_t priority = std::min(request.route.priority(), maxLabelledPriority);
+        if (outcome.kind == JobOutcome::Kind::NotRun)
+            refused[refusalCause(outcome.reason) * (maxLabelledPriority + 1) + priority]->Increment();
+        else if (outcome.kind == JobOutcome::Kind::Completed)
+            answers[(late ? maxLabelledPriority + 1 : 0) + priority]->Increment();
     }
 
     prometheus::Counter& forOutcome(JobOutcome::Kind kind)
@@ -87,7 +131,10 @@
     }
 
     prometheus::Counter &completed, &failed, &notRun, &mayHaveRun, &abandoned;
-    prometheus::Gauge &inFlight, &agents, &routing, &notStarted, &failedAttempts, &lostAttempts, &crashes, &endedByCrashes;
+    // By cause, then by priority; and in time or late, then by priority.
+    std::vector<prometheus::Counter*> refused, answers;
+    prometheus::Gauge &inFlight, &agents, &routing, &notStarted, &failedAttempts, &lostAttempts, &crashes, &endedByCrashes,
+        &admittedPercent, &urgentAdmittedPercent;
     prometheus::Histogram &completedMs, &otherMs;
 };
 
@@ -95,7 +142,7 @@
     : m_settings(std::move(settings))
     , m_identity(m_settings.process.name + "/" + std::to_string(wallClockMs()))
     , m_random(randomIdentity())
-    , m_jobs({},
+    , m_jobs(jobTableOptions(m_settings),
           JobTableHooks {
               [this](const AgentId& agent, wire::EntryToUpstream message) {
                   message.set_entry(m_identity);
@@ -109,10 +156,11 @@
 {
 }
 
-void DirectServer::onJobEnd(const JobRequest& /*request*/, const JobOutcome& outcome, Duration took)
+void DirectServer::onJobEnd(const JobRequest& request, const JobOutcome& outcome, Duration took)
 {
     const auto ms = static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
     m_counters->forOutcome(outcome.kind).Increment();
+    m_counters->count(request, outcome, took > m_jobs.objective(request));
     (outcome.kind == JobOutcome::Kind::Completed ? m_counters->completedMs : m_counters->otherMs).Observe(ms);
 }
 
@@ -307,6 +355,8 @@
     set(m_counters->lostAttempts, m_jobs.counters().lostAttempts);
     set(m_counters->crashes, m_jobs.counters().crashesUnderTasks);
     set(m_counters->endedByCrashes, m_jobs.counters().endedByCrashes);
+    m_counters->admittedPercent.Set(m_jobs.shedder().admittedPercent(false));
+    m_counters->urgentAdmittedPercent.Set(m_jobs.shedder().admittedPercent(true));
     if (drained(now))
         m_hub->stop();
 }
--- a/fescuegw/direct/DirectServer.h
+++ b/fescuegw/direct/DirectServer.h
@@ -30,6 +30,8 @@
     Duration balancerGrace {};
     // Time after which a graceful stop ends the jobs that are still in flight.
     Duration drainLimit {};
+    // Whether jobs are refused by priority while tasks wait too long.
+    bool loadShedding = true;
 };
 
 // Reads the sections [entry] and [formation]; errors are recorded in `document`.
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -11,6 +11,12 @@
 using logging::Event;
 using logging::Level;
 
+namespace {
+
+    constexpr double fullPercent = 100;
+
+} // namespace
+
 JobTable::JobTable(JobTableOptions options, JobTableHooks hooks)
     : m_options(options)
     , m_hooks(std::move(hooks))
@@ -119,6 +125,15 @@
     for (const auto& it : m_queue.tasks())
         m_shedder.onWait(it.first.priority, now - it.second.since, it.second.slack);
     m_shedder.update(now);
+    const bool shedding = m_shedder.admittedPercent(false) < fullPercent || m_shedder.admittedPercent(true) < fullPercent;
+    if (shedding == m_shedding)
+        return;
+    m_shedding = shedding;
+    Event(Level::Info, "load_shedding")
+        .with("active", shedding ? "yes" : "no")
+        .with("waiting_here", m_queue.size())
+        .with("jobs", m_jobs.size())
+        .with("refused", m_counters.refused);
 }
 
 wire::EntryToUpstream& JobTable::outbox(const AgentId& agent) { return m_outbox[agent]; }
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -233,6 +233,8 @@
     JobTableHooks m_hooks;
     Admission m_admission;
     LoadShedder m_shedder;
+    // Whether the last update left a share of the jobs to be refused.
+    bool m_shedding = false;
     OfferTable m_offers;
     OfferPace m_offerPace;
     Placement m_placement;
