--- a/fescuegw/direct/LoadShedder.cpp
+++ b/fescuegw/direct/LoadShedder.cpp
@@ -55,23 +55,29 @@
     return std::clamp(decreasePerExcess * excess, m_options.decreasePercent, m_options.maxDecreasePercent) / fullPercent;
 }
 
-// Urgent tasks are placed first, so their waits show whether the capacity suffices for them alone.
+double LoadShedder::increaseFor(double waitPercent) const
+{
+    const double range = m_options.maxIncreasePercent - m_options.increasePercent;
+    return (m_options.maxIncreasePercent - range * waitPercent / m_options.minWaitPercent) / fullPercent;
+}
+
+// Urgent tasks are placed first, so their waits show whether the capacity suffices for them alone. Their share returns slowly:
+// their slack is short, and an excess shows only once tasks wait.
 void LoadShedder::update(TimePoint now)
 {
     m_updateDue = now + m_options.period;
     const double urgentWaits = std::exchange(m_urgentWaits, {}).percent();
     const double waits = std::max(std::exchange(m_waits, {}).percent(), urgentWaits);
     const double minShare = m_options.minSharePercent / fullPercent;
-    const double increase = m_options.increasePercent / fullPercent;
     const bool othersCanBeRefused = m_share > minShare && now - m_lessUrgentSeen < lessUrgentMemory;
     if (waits > m_options.maxWaitPercent && othersCanBeRefused)
         m_share = std::max(minShare, m_share * (1 - decreaseFor(waits)));
     else if (urgentWaits > m_options.maxWaitPercent)
         m_urgentShare = std::max(minShare, m_urgentShare * (1 - decreaseFor(urgentWaits)));
     if (urgentWaits < m_options.minWaitPercent)
-        m_urgentShare = std::min(1.0, m_urgentShare + increase);
+        m_urgentShare = std::min(1.0, m_urgentShare + m_options.increasePercent / fullPercent);
     if (waits < m_options.minWaitPercent && m_urgentShare >= 1)
-        m_share = std::min(1.0, m_share + increase);
+        m_share = std::min(1.0, m_share + increaseFor(waits));
 }
 
 bool LoadShedder::isMostUrgent(TimePoint now, uint32_t priority)
--- a/fescuegw/direct/LoadShedder.h
+++ b/fescuegw/direct/LoadShedder.h
@@ -16,13 +16,15 @@
     Duration period { std::chrono::milliseconds(50) };
     // Waits are compared with the slack of their jobs: the time that a job may wait without being late. Above the upper limit the
     // load is reduced, below the lower one it is raised. Between them it stays, so that it does not oscillate at the edge.
-    uint32_t maxWaitPercent = 30;
-    uint32_t minWaitPercent = 20;
+    uint32_t maxWaitPercent = 50;
+    uint32_t minWaitPercent = 30;
     // A small excess of the waits lowers the share of admitted jobs by this, a larger one by up to `maxDecreasePercent`.
     double decreasePercent = 3;
     double maxDecreasePercent = 40;
-    // All of the load is admitted again within 1.7 s of the end of an overload.
-    double increasePercent = 3;
+    // Waits just below the lower limit raise the share by this, shorter ones by up to `maxIncreasePercent`: all of the load is
+    // admitted again within half a second of the end of an overload.
+    double increasePercent = 2;
+    double maxIncreasePercent = 10;
     // Less urgent jobs are never refused altogether.
     double minSharePercent = 5;
     // Without a more urgent job for this long, the next priority counts as the most urgent one.
@@ -78,6 +80,7 @@
     double sizeFactor(const JobCost&);
     bool isMostUrgent(TimePoint now, uint32_t priority);
     double decreaseFor(double waitPercent) const;
+    double increaseFor(double waitPercent) const;
 
     LoadShedderOptions m_options;
     std::function<uint64_t(uint64_t)> m_random;
