Warm-up: steps that end, and grants that keep to them

Grants and offers of an idle cold upstream covered its whole capacity, while starts were held to the first step: of seven granted starts, six were refused. An upstream that announced the same cold time again and again was used to a quarter for ever. Another writer with the same time of birth ended the warm-up. A cold time announced during a drain ran out before the withdrawal.

Grants and offers keep to the step; a task that needs more gets an upstream that is otherwise unused. Announcements only shorten the steps, and new ones begin only with a longer time after their end, or with the withdrawal of a drain. Only the adopted announcement counts.

--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -60,7 +60,8 @@
             .with("address", next.address);
     }
     adoptAnnouncement();
-    if (next.bornMs == m_bornMs)
+    // An announcement of another writer is not adopted, and says nothing about this process.
+    if (m_announcement && *m_announcement == next)
         m_warmUp.onAnnouncement(now, next.coldFor);
     logDomainDrain();
     tick(now);
@@ -245,7 +246,8 @@
         return "too_late";
     if (startLease(now) < minStartLease)
         return "leases_ending";
-    return run.need.fitsInto(free(now)) ? "" : "no_room";
+    const bool fits = run.need.fitsInto(free(now)) || (isUnused() && run.need.fitsInto(m_announcement->capacity));
+    return fits ? "" : "no_room";
 }
 
 void RunTable::onStop(TimePoint now, const std::string& entry, const wire::AttemptKey& key)
@@ -821,7 +823,13 @@
 
 void RunTable::setDrainedDomains(TimePoint now, std::set<std::string> domains)
 {
+    const bool wasDrained = isDomainDrained();
     m_drainedDomains = std::move(domains);
+    // The upstream was idle during the drain, so the time that it announced then has not warmed it.
+    if (wasDrained && !isDomainDrained()) {
+        m_warmUp.reset();
+        m_warmUp.onAnnouncement(now, m_announcement->coldFor);
+    }
     logDomainDrain();
     tick(now);
 }
@@ -845,21 +853,23 @@
 
 Resources RunTable::free(TimePoint now) const
 {
-    Resources free = m_announcement ? m_announcement->capacity : Resources();
-    // A single task may need more than the first step of the warm-up.
-    if (!m_runs.empty() || m_grants.reservationCount() > 0)
-        free = m_warmUp.usable(now, free);
+    Resources free = m_announcement ? m_warmUp.usable(now, m_announcement->capacity) : Resources();
     for (const auto& it : m_runs)
         free -= it.second.need;
     return free - m_grants.reserved();
 }
 
+bool RunTable::isUnused() const { return m_announcement && m_runs.empty() && m_grants.reservationCount() == 0; }
+
 void RunTable::issueGrants(TimePoint now)
 {
     if (!accepting(now) || !m_health.admits(now, running() + m_grants.reservationCount()))
         return;
     const size_t maxGrants = m_health.ejected() ? 1 : std::numeric_limits<size_t>::max();
-    for (const auto& it : m_grants.grant(now, free(now), maxGrants))
+    auto granted = m_grants.grant(now, free(now), maxGrants);
+    if (granted.empty() && isUnused())
+        granted = m_grants.grant(now, m_announcement->capacity, 1);
+    for (const auto& it : granted)
         m_hooks.grant(it.entry, it.grant);
 }
 
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -215,6 +215,9 @@
     std::string refusalReason(TimePoint now, const Run&);
     // Returns the resources that are neither reserved by runs nor granted.
     Resources free(TimePoint now) const;
+    // Whether nothing runs and nothing is granted. A single task then may use the whole capacity, since it may need more than
+    // the first step of the warm-up.
+    bool isUnused() const;
     uint64_t nextRunNumber(TimePoint now, const StepTask&, uint32_t attempt);
 
     RunTableOptions m_options;
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1491,3 +1491,65 @@
     agent.announce(1, 3, false, "i-1", Duration());
     cr_assert_eq(startsOf("warm"), 4U);
 }
+
+// Grants for the whole capacity of an idle cold upstream would all be refused but the last one, since they hold more than the
+// first step of the warm-up. A task that needs more than that step must still get a grant.
+Test(RunTable, grantsOfAnIdleColdUpstreamKeepToTheFirstStep)
+{
+    Agent agent;
+    agent.announce(1, 2, false, "i-1", ms(4000));
+    cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 16000U);
+    auto demand = agent.message("e1/1");
+    demand.mutable_demand()->set_tasks(8);
+    demand.mutable_demand()->mutable_need()->set_cores_milli(8000);
+    agent.table.onEntry(agent.now, demand);
+    cr_assert_eq(agent.grants.size(), 2U);
+    for (int n = 0; n < 2; ++n)
+        agent.start("e1/1", "granted" + std::to_string(n), 8000, agent.grants.at(static_cast<size_t>(n)).second.id());
+    cr_assert_eq(agent.starts.size(), 2U);
+
+    Agent other;
+    other.announce(1, 2, false, "i-1", ms(4000));
+    demand.mutable_demand()->mutable_need()->set_cores_milli(40000);
+    other.table.onEntry(other.now, demand);
+    cr_assert_eq(other.grants.size(), 1U);
+    other.start("e1/1", "large", 40000, other.grants.front().second.id());
+    cr_assert_eq(other.starts.size(), 1U);
+}
+
+// An upstream whose announced time does not pass must not keep a part of its capacity unused for ever.
+Test(RunTable, anUpstreamThatAnnouncesTheSameColdTimeForEverIsUsedInFull)
+{
+    Agent agent;
+    agent.start("e1/1", "running", 1000);
+    uint64_t sequence = 1;
+    for (int n = 0; n < 20; ++n) {
+        agent.announce(1, ++sequence, false, "i-1", ms(4000));
+        agent.advance(ms(500));
+    }
+    cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 63000U);
+}
+
+// An upstream that says that it is cold while its domain is drained is still cold when the drain is withdrawn.
+Test(RunTable, aWithdrawnDrainBeginsTheWarmUp)
+{
+    Agent agent;
+    agent.table.setDrainedDomains(agent.now, { "d1" });
+    uint64_t sequence = 1;
+    for (int n = 0; n < 20; ++n) {
+        agent.announce(1, ++sequence, false, "i-1", ms(4000));
+        agent.advance(ms(500));
+    }
+    agent.table.setDrainedDomains(agent.now, {});
+    cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 16000U);
+}
+
+// Another writer with the same time of birth says nothing about whether the upstream is cold.
+Test(RunTable, anotherWriterDoesNotEndTheWarmUp)
+{
+    Agent agent;
+    agent.start("e1/1", "running", 1000);
+    agent.announce(1, 2, false, "i-1", ms(4000));
+    agent.announce(1, 3, false, "other", Duration());
+    cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 15000U);
+}
--- a/fescuegw/arbiter/WarmUp.h
+++ b/fescuegw/arbiter/WarmUp.h
@@ -18,13 +18,18 @@
     void onAnnouncement(TimePoint now, Duration coldFor)
     {
         if (coldFor <= Duration()) {
-            m_total = Duration();
+            reset();
             return;
         }
-        // An upstream that has been idle may become cold again, or estimate a longer time.
-        if (now >= m_warmAt || now + coldFor > m_warmAt + m_total / stepCount)
-            m_total = coldFor;
-        m_warmAt = now + coldFor;
+        // Only the end of the steps can begin new ones, and only a longer time than before: an upstream whose time does not pass
+        // would be used in part for ever.
+        if (now >= m_warmAt && coldFor > m_shortestColdFor) {
+            m_total = m_shortestColdFor = coldFor;
+            m_warmAt = now + coldFor;
+            return;
+        }
+        m_shortestColdFor = std::min(m_shortestColdFor, coldFor);
+        m_warmAt = std::min(m_warmAt, now + coldFor);
     }
 
     // Returns the usable part of `capacity`.
@@ -43,8 +48,11 @@
 private:
     static constexpr int64_t stepCount = 4;
 
+    // Duration of all steps; 0 if the upstream is warm.
     Duration m_total {};
     TimePoint m_warmAt;
+    // The shortest time announced since the steps began.
+    Duration m_shortestColdFor {};
 };
 
 } // namespace fescuegw::arbiter
