Names of up to 128 characters

A failure domain with a name of 97 to 128 characters could not be drained: the order was answered 400, though the interface allows 128. The registry test has the longest name; it failed before the change. The fields of RunTable are ordered to have less padding.

--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -272,9 +272,9 @@
     std::vector<wire::AttemptKey> m_possiblyCrashed;
     bool m_departed = false;
     bool m_draining = false;
-    std::set<std::string> m_drainedDomains;
     // The last value of `isDomainDrained` that was logged.
     bool m_drainLogged = false;
+    std::set<std::string> m_drainedDomains;
     WarmUp m_warmUp;
 };
 
--- a/fescuegw/base/Types.cpp
+++ b/fescuegw/base/Types.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-    constexpr size_t maxNameLength = 96;
+    // Operators name failure domains with up to 128 characters.
+    constexpr size_t maxNameLength = 128;
 
     bool isNameCharacter(char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' || c == '_' || c == '-'; }
 
--- a/fescuegw/registry/RegistryTest.cpp
+++ b/fescuegw/registry/RegistryTest.cpp
@@ -166,6 +166,7 @@
     cr_assert_eq(order("d3", true), wire::CONFLICT);
     for (const std::string& it : std::vector<std::string> { "", "a/b", std::string(129, 'd') })
         cr_assert_eq(order(it, true), wire::CONFLICT, "%s", it.c_str());
+    cr_assert_eq(order(std::string(128, 'd'), false), wire::REPEATED, "the longest name");
     Registry restored(limits);
     restored.restore(registry.capture());
     cr_assert_eq(restored.view().drained_domains_size(), 2);
