Soak: drains of failure domains, with the loss of all replicas and of an agent

No test with real processes ordered a drain. While the drain holds, all replicas are killed, and an agent of the domain. Other faults spare the replicas. An order whose answer was lost may still be carried out, so its opposite waits for 5 s.

--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -37,6 +37,21 @@
     constexpr uint32_t minStallMs = 100;
     constexpr uint32_t maxStallMs = 4000;
     constexpr uint32_t maxRepeats = 4;
+    // Between drains, orders without an answer lose their effect (Operator::setDrain).
+    // All replicas are killed when a drain must have taken effect, an agent of the domain when they are back, and the drain is
+    // withdrawn when the agent's longest absence is over.
+    constexpr uint32_t minReplicasLossMs = 5100;
+    constexpr uint32_t maxReplicasLossMs = 6000;
+    constexpr uint32_t minReplicasDownMs = 50;
+    constexpr uint32_t maxReplicasDownMs = 500;
+    constexpr uint32_t minAgentLossMs = 7500;
+    constexpr uint32_t maxAgentLossMs = 8500;
+    constexpr uint32_t minDrainMs = 11500;
+    constexpr uint32_t maxDrainMs = 12500;
+    constexpr uint32_t minDrainGapMs = 6500;
+    constexpr uint32_t maxDrainGapMs = 8000;
+    // Keeps the draws of drains apart from those of faults.
+    constexpr uint32_t drainsSalt = 0x64726169;
     // Percentage of series whose faults hit all targets of a type at once.
     constexpr uint32_t allTargetsPercent = 12;
 
@@ -137,6 +152,14 @@
             return fault;
         }
 
+        Fault nextDrainsFault()
+        {
+            Fault fault = nextFault();
+            while (fault.target == Target::Replica)
+                fault = nextFault();
+            return fault;
+        }
+
         Fault nextFault()
         {
             Fault fault;
@@ -207,6 +230,22 @@
         + " ms";
 }
 
+std::vector<DomainDrain> drawDrains(uint32_t seed, const FleetSize& size, const PlanOptions& options)
+{
+    std::vector<DomainDrain> drains;
+    if (!options.drains)
+        return drains;
+    FaultGenerator generator(seed ^ drainsSalt, size);
+    Duration at = options.calm + generator.between(0, maxDrainGapMs - minDrainGapMs);
+    while (true) {
+        const DomainDrain drain { at, generator.between(minDrainMs, maxDrainMs), generator.below(size.domains) };
+        if (drain.at + drain.length > options.length)
+            return drains;
+        drains.push_back(drain);
+        at = drain.at + drain.length + generator.between(minDrainGapMs, maxDrainGapMs);
+    }
+}
+
 std::vector<Fault> drawPlan(uint32_t seed, const FleetSize& size, const PlanOptions& options)
 {
     FaultGenerator generator(seed, size);
@@ -218,6 +257,7 @@
             : options.quickRestarts  ? generator.nextQuickRestartsFault()
             : options.crashes        ? generator.nextCrashesFault()
             : options.runBounds      ? generator.nextRunBoundFault()
+            : options.drains         ? generator.nextDrainsFault()
                                      : generator.nextFault();
         fault.at = options.calm + generator.between(0, lastMs - static_cast<uint32_t>(toMs(options.calm)));
         const bool allTargets = generator.below(100) < allTargetsPercent && fault.kind != FaultKind::WipeDisk;
@@ -232,6 +272,19 @@
             fault.at += generator.between(0, maxGapMs);
         }
     }
+    FaultGenerator lossGenerator(~(seed ^ drainsSalt), size);
+    for (const auto& it : drawDrains(seed, size, options)) {
+        const Duration replicasLost = it.at + lossGenerator.between(minReplicasLossMs, maxReplicasLossMs);
+        const Duration replicasDown = lossGenerator.between(minReplicasDownMs, maxReplicasDownMs);
+        for (uint32_t k = 0; k < size.replicas; ++k)
+            plan.push_back({ replicasLost, FaultKind::Kill, Target::Replica, k, replicasDown });
+        const uint32_t inDomain = (size.agents + size.domains - 1 - it.domain) / size.domains;
+        if (inDomain == 0)
+            continue;
+        const uint32_t agent = it.domain + size.domains * lossGenerator.below(inDomain);
+        const Duration agentLost = it.at + lossGenerator.between(minAgentLossMs, maxAgentLossMs);
+        plan.push_back({ agentLost, FaultKind::Kill, Target::Agent, agent, replicasDown });
+    }
     std::sort(plan.begin(), plan.end());
     return removeCloseWipes(plan, options.minWipeInterval);
 }
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -74,10 +74,23 @@
 
 std::string toString(const Fault&);
 
+// An order to drain a failure domain, and its withdrawal.
+struct DomainDrain {
+    // Time since the start of the soak test.
+    Duration at {};
+    Duration length {};
+    // Index of the failure domain, from 0.
+    uint32_t domain = 0;
+
+    friend auto operator<=>(const DomainDrain&, const DomainDrain&) = default;
+};
+
 struct FleetSize {
     uint32_t entries = 2;
     uint32_t agents = 4;
     uint32_t replicas = 3;
+    // Failure domains, over which agents are spread in turn: agent n is in domain n % domains.
+    uint32_t domains = 2;
 
     friend bool operator==(const FleetSize&, const FleetSize&) = default;
 };
@@ -101,6 +114,9 @@
     // Draws only what decides whether an order that is carried out late takes effect: late orders, agents that are killed or
     // paused, and entries that are paused.
     bool lateLeases = false;
+    // Draws drains of failure domains, with the loss of all replicas and of an agent of the domain while each holds. Other faults
+    // leave the replicas alone, so that agents can reach them and orders have no excuse.
+    bool drains = false;
     // Minimum time between disk losses: a replica needs time to receive a copy of the state before the next loss.
     Duration minWipeInterval { std::chrono::seconds(7) };
 };
@@ -109,4 +125,7 @@
 // and none while another replica is down, paused or partitioned.
 std::vector<Fault> drawPlan(uint32_t seed, const FleetSize&, const PlanOptions&);
 
+// Returns the drains that go with a plan of the same arguments, sorted by time, one after the other. None without `drains`.
+std::vector<DomainDrain> drawDrains(uint32_t seed, const FleetSize&, const PlanOptions&);
+
 } // namespace fescuegw::soak
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -189,4 +189,39 @@
     }
 }
 
+// A drain that is too short for its bound, or without the losses that it has to outlive, would test nothing.
+Test(faultPlan, everyDrainOutlivesTheLossOfAllReplicasAndOfAnAgentOfItsDomain)
+{
+    PlanOptions options;
+    options.drains = true;
+    options.length = std::chrono::seconds(30);
+    const FleetSize size;
+    std::vector<size_t> perDomain(size.domains);
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        const auto plan = drawPlan(seed, size, options);
+        const auto drains = drawDrains(seed, size, options);
+        cr_assert(drains == drawDrains(seed, size, options));
+        cr_assert(!drains.empty());
+        Duration before = options.calm;
+        for (const auto& drain : drains) {
+            ++perDomain.at(drain.domain);
+            cr_assert(drain.at >= before);
+            before = drain.at + drain.length;
+            cr_assert(before <= options.length);
+            size_t replicas = 0;
+            size_t agents = 0;
+            for (const auto& it : plan) {
+                const bool during = it.at > drain.at + std::chrono::seconds(5) && it.at + it.length < before;
+                const bool isKill = it.kind == FaultKind::Kill && during;
+                replicas += isKill && it.target == Target::Replica ? 1 : 0;
+                agents += isKill && it.target == Target::Agent && it.index % size.domains == drain.domain ? 1 : 0;
+            }
+            cr_assert_eq(replicas, size.replicas);
+            cr_assert_geq(agents, 1U);
+        }
+    }
+    cr_assert(std::all_of(perDomain.begin(), perDomain.end(), [](size_t n) { return n > 0; }));
+    cr_assert(drawDrains(1, size, {}).empty());
+}
+
 } // namespace fescuegw::soak
--- a/fescuegw/soak/Ledger.cpp
+++ b/fescuegw/soak/Ledger.cpp
@@ -86,6 +86,34 @@
     changed.capacity = capacity;
 }
 
+void Ledger::onUpstreamDomain(const std::string& upstream, const std::string& domain)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_upstreams[upstream].domain = domain;
+}
+
+void Ledger::onDomainDrainAcknowledged(TimePoint now, const std::string& domain)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Domain& drained = m_domains[domain];
+    // The acknowledgement of a repeated order does not put the bound off.
+    if (!drained.drainAcknowledgedAt)
+        drained.drainAcknowledgedAt = now;
+    drained.awaitsStart = false;
+}
+
+void Ledger::onDomainReturnSent(const std::string& domain)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_domains[domain].drainAcknowledgedAt.reset();
+}
+
+void Ledger::onDomainReturnAcknowledged(const std::string& domain)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_domains[domain].awaitsStart = true;
+}
+
 void Ledger::onLeavingAcknowledged(TimePoint now, const std::string& upstream)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -127,6 +155,19 @@
             description + ": " + std::to_string(-free.coresMilli) + " thousandths of a core too many");
     if (target.leaving && prompt && now - target.leaveAcknowledgedAt > m_options.drainLimit)
         addViolation("no start on an upstream that leaves", description);
+    const auto domain = m_domains.find(target.domain);
+    // An order that is carried out late may have been given before the drain or its withdrawal.
+    if (domain == m_domains.end() || !prompt)
+        return;
+    domain->second.awaitsStart = false;
+    const auto& drainedAt = domain->second.drainAcknowledgedAt;
+    if (!drainedAt)
+        return;
+    if (now - *drainedAt > m_options.domainDrainLimit)
+        addViolation("no start in a drained domain",
+            description + " in " + target.domain + ", " + std::to_string(toMs(now - *drainedAt)) + " ms after the drain");
+    else
+        ++m_startsBeforeDrains;
 }
 
 void Ledger::onRunEnded(const std::string& upstream, const StepTask& task, uint64_t run, RunOutcome outcome)
@@ -157,6 +198,9 @@
     for (const auto& it : m_upstreams)
         for (const auto& run : it.second.runs)
             addViolation("nothing runs for nobody", describeRun(run.task, run.number) + " on " + it.first);
+    for (const auto& it : m_domains)
+        if (it.second.awaitsStart)
+            addViolation("service returns", "nothing has started in " + it.first + " since its drain was withdrawn");
 }
 
 std::vector<Violation> Ledger::violations() const
@@ -187,6 +231,18 @@
     return m_crashes;
 }
 
+size_t Ledger::startsBeforeDrains() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_startsBeforeDrains;
+}
+
+bool Ledger::allDomainsReturned() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return std::none_of(m_domains.begin(), m_domains.end(), [](const auto& it) { return it.second.awaitsStart; });
+}
+
 bool Ledger::hasStarted(const std::string& job) const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/fescuegw/soak/Ledger.h
+++ b/fescuegw/soak/Ledger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +49,8 @@
     Duration shrinkLimit { std::chrono::milliseconds(3000 + 500) };
     // Time after the acknowledgement of an upstream's leave request from which no run may start there.
     Duration drainLimit { std::chrono::milliseconds(2000) };
+    // Time after the acknowledgement of the drain of a failure domain from which no run may start on its upstreams.
+    Duration domainDrainLimit { std::chrono::milliseconds(5000) };
 };
 
 // Uses only externally visible events. Thread-safe.
@@ -67,6 +70,12 @@
     void onUpstreamCrashed(const std::string& upstream, const StepTask& task);
     // The same by chance.
     void onUpstreamCrashed(const std::string& upstream);
+    // Called before the first start on an upstream. The name of an upstream's failure domain does not change.
+    void onUpstreamDomain(const std::string& upstream, const std::string& domain);
+    void onDomainDrainAcknowledged(TimePoint now, const std::string& domain);
+    // The order may take effect from now on.
+    void onDomainReturnSent(const std::string& domain);
+    void onDomainReturnAcknowledged(const std::string& domain);
     void onCapacityChanged(TimePoint now, const std::string& upstream, const Resources& capacity);
     void onLeavingAcknowledged(TimePoint now, const std::string& upstream);
     // `prompt` says whether the start request was delivered without delay.
@@ -84,6 +93,10 @@
     std::map<CallEnd, size_t> answers() const;
     size_t starts() const;
     size_t crashes() const;
+    // Returns the starts in domains whose drain was acknowledged, within the time that the drain may take to have effect.
+    size_t startsBeforeDrains() const;
+    // Returns whether a run has started in every domain since the acknowledgement that it is no longer drained.
+    bool allDomainsReturned() const;
     bool hasStarted(const std::string& job) const;
     // Whether a task of the job is running anywhere.
     bool isRunning(const std::string& job) const;
@@ -117,6 +130,13 @@
         std::vector<Run> runs;
         bool leaving = false;
         TimePoint leaveAcknowledgedAt;
+        std::string domain;
+    };
+
+    struct Domain {
+        std::optional<TimePoint> drainAcknowledgedAt;
+        // Whether a run has to start before the end, since a drain was withdrawn.
+        bool awaitsStart = false;
     };
 
     void addViolation(const std::string& promise, const std::string& detail);
@@ -125,6 +145,8 @@
     mutable std::mutex m_mutex;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Upstream> m_upstreams;
+    std::map<std::string, Domain> m_domains;
+    size_t m_startsBeforeDrains = 0;
     size_t m_starts = 0;
     size_t m_crashes = 0;
     std::vector<Violation> m_violations;
--- a/fescuegw/soak/LedgerTest.cpp
+++ b/fescuegw/soak/LedgerTest.cpp
@@ -240,4 +240,64 @@
     cr_assert_eq(it.acknowledged(), 5U);
 }
 
+// A check that looked only at the first moments, or that a repeated order put off, would miss starts in a drained domain.
+Test(ledger, startsInADrainedDomain)
+{
+    Fixture it;
+    it.ledger.onUpstreamDomain("up1", "d1");
+    it.ledger.onUpstreamDomain("up2", "d2");
+    it.ledger.onDomainDrainAcknowledged(start, "d1");
+    const TimePoint bound = start + std::chrono::milliseconds(5000);
+    it.run("up1", "a", 0, bound);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    cr_assert_eq(it.ledger.startsBeforeDrains(), 1U);
+    it.ledger.onDomainDrainAcknowledged(bound, "d1");
+    const TimePoint later = bound + std::chrono::milliseconds(1);
+    it.run("up2", "a", 1, later);
+    cr_assert(it.ledger.violations().empty());
+    it.run("up1", "b", 0, later);
+    cr_assert_eq(onlyPromise(it.ledger), "no start in a drained domain");
+    cr_assert_eq(it.ledger.startsBeforeDrains(), 1U);
+}
+
+// An upstream that carries out an order late, or after the withdrawal was sent, is not at fault; nor is its agent.
+Test(ledger, lateOrdersAndWithdrawnDrains)
+{
+    Fixture it;
+    it.ledger.onUpstreamDomain("up1", "d1");
+    it.ledger.onDomainDrainAcknowledged(start, "d1");
+    const TimePoint later = start + std::chrono::milliseconds(6000);
+    it.ledger.onRunStarted(later, "up1", { "a", 0, 0 }, 1, need, "text", false);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    it.ledger.onDomainReturnSent("d1");
+    it.run("up1", "a", 1, later);
+    cr_assert(it.ledger.violations().empty());
+    it.end("up1", "a", 1, RunOutcome::Done);
+    // A second drain has its own bound.
+    it.ledger.onDomainDrainAcknowledged(later, "d1");
+    it.run("up1", "b", 0, later + std::chrono::milliseconds(4000));
+    cr_assert(it.ledger.violations().empty());
+}
+
+// A domain that gets no work after its drain was withdrawn would go unnoticed while others serve.
+Test(ledger, aWithdrawnDomainIsUsedAgain)
+{
+    Fixture it;
+    it.ledger.onUpstreamDomain("up1", "d1");
+    it.ledger.onUpstreamDomain("up2", "d2");
+    for (const char* domain : { "d1", "d2" }) {
+        it.ledger.onDomainDrainAcknowledged(start, domain);
+        it.ledger.onDomainReturnSent(domain);
+        it.ledger.onDomainReturnAcknowledged(domain);
+    }
+    cr_assert_not(it.ledger.allDomainsReturned());
+    it.run("up1", "a", 0);
+    it.end("up1", "a", 0, RunOutcome::Done);
+    cr_assert_not(it.ledger.allDomainsReturned());
+    it.ledger.checkAtEnd();
+    cr_assert_eq(onlyPromise(it.ledger), "service returns");
+    it.run("up2", "b", 0);
+    cr_assert(it.ledger.allDomainsReturned());
+}
+
 } // namespace fescuegw::soak
