--- a/fescuegw/scenario/Host.h
+++ b/fescuegw/scenario/Host.h
@@ -33,6 +33,8 @@
     // Returns the exit code, the negated number of the signal that ended the process, or -1000 if it still runs after `timeout`.
     int wait(const std::string& name, Duration timeout);
     bool alive(const std::string& name);
+    // Returns the process number of `name`.
+    int processNumber(const std::string& name) const { return m_processes.at(name).pid; }
 
     // Returns the CPU time in seconds and the resident memory in KiB of each running process, by name.
     std::map<std::string, std::pair<double, uint64_t>> usage();
