HTTP server: budget of held bytes, deadlines and early refusal

The server kept up to 4 MiB for each of up to 4,096 connections, read oversized bodies to their end, and never ended a body that stopped short while single bytes arrived. Callers could fill the memory of any process.

BodyBudget grants the bytes of headers and body before they are read, and of what a handler keeps, until the response is sent or the connection has ended; a request that is alone is always granted. A request beyond it is refused with 503 "not run", and the bodies that have been slowest for over a second are ended until a quarter is free. An announced body over the limit is refused at the end of the headers, another one with the first byte too many. Bodies have a deadline of 20 s, headers of the idle time and 5 s. JSON texts of more than 400,000 values are refused, since a value takes up to 100 bytes of memory.

--- a/fescuegw/http/Json.cpp
+++ b/fescuegw/http/Json.cpp
@@ -4,10 +4,12 @@
 
 namespace {
 
-    // Counts brackets outside strings; the result is exact for valid JSON.
-    bool isTooDeep(const std::string& text)
+    // Counts brackets and commas outside strings; the depth is exact for valid JSON, and the number of values is at least the
+    // true one.
+    bool isTooDeepOrLong(const std::string& text)
     {
         size_t depth = 0;
+        size_t values = 0;
         bool inString = false;
         for (size_t i = 0; i < text.size(); ++i) {
             const char c = text[i];
@@ -15,6 +17,8 @@
                 ++i;
             else if (c == '"')
                 inString = !inString;
+            else if (!inString && (c == '[' || c == '{' || c == ',') && ++values > maxJsonValues)
+                return true;
             else if (!inString && (c == '[' || c == '{') && ++depth > maxJsonDepth)
                 return true;
             else if (!inString && (c == ']' || c == '}') && depth > 0)
@@ -27,7 +31,7 @@
 
 nlohmann::json parseJson(const std::string& text)
 {
-    if (isTooDeep(text))
+    if (isTooDeepOrLong(text))
         return nlohmann::json(nlohmann::json::value_t::discarded);
     return nlohmann::json::parse(text, nullptr, false);
 }
--- a/fescuegw/http/JsonTest.cpp
+++ b/fescuegw/http/JsonTest.cpp
@@ -32,3 +32,17 @@
     cr_assert(parseJson(R"({"a":1e400})").is_discarded());
     cr_assert_not(parseJson(R"({"a":18446744073709551616})").is_discarded());
 }
+
+// 4 MiB of short values would take over 100 megabytes of memory, more than an agent's machine has left.
+Test(Json, textOfTooManyValuesIsRefused)
+{
+    const auto list = [](size_t values) {
+        std::string text = "[0";
+        while (--values > 0)
+            text += ",0";
+        return text + "]";
+    };
+    cr_assert_eq(parseJson(list(maxJsonValues)).size(), maxJsonValues);
+    cr_assert(parseJson(list(maxJsonValues + 1)).is_discarded());
+    cr_assert_not(parseJson("\"" + std::string(maxJsonValues + 1, ',') + "\"").is_discarded());
+}
--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -1,8 +1,11 @@
 #include "fescuegw/http/Server.h"
 
-#include <array>
+#include <algorithm>
 #include <atomic>
+#include <charconv>
+#include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -10,13 +13,29 @@
 #include <microhttpd.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace fescuegw::http {
 
 namespace {
 
+    constexpr int statusTimeout = 408;
     constexpr int statusTooLarge = 413;
+    constexpr int statusUnavailable = 503;
+    // Memory of libmicrohttpd for one connection: half of it is read buffer, which holds headers of up to 16,384 bytes.
+    constexpr size_t connectionMemory = 32768;
+    // Bytes that a header occupies in the maps of `Request` beside its name and value.
+    constexpr size_t headerOverhead = 128;
+    // A body of unknown length reserves at least this much, and then twice as much each time.
+    constexpr size_t firstReservation = 4096;
+    constexpr Duration sweepInterval = std::chrono::milliseconds(250);
+    // Connections younger than this are not shed: 262,144 bytes take 84 ms at 25 Mbit/s.
+    constexpr Duration shedAge = std::chrono::seconds(1);
+    // Share of the budget that shedding frees at a time.
+    constexpr size_t shedDivisor = 4;
+    // Beyond the idle time, within which libmicrohttpd closes connections that send nothing.
+    constexpr Duration headerGrace = std::chrono::seconds(5);
     constexpr std::chrono::milliseconds drainPollInterval { 5 };
     constexpr int maxDrainPolls = 400;
 
@@ -97,6 +116,47 @@
         return poll(&it, 1, 0) > 0 && isClosed(it);
     }
 
+    // Returns the value of Content-Length, or 0 for a body of unknown length and for none.
+    size_t announcedLength(MHD_Connection* connection)
+    {
+        const std::string value = header(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+        size_t length = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), length);
+        if (parsed.ec == std::errc::result_out_of_range)
+            return SIZE_MAX;
+        return parsed.ec == std::errc() ? length : 0;
+    }
+
+    // Sends `response` past libmicrohttpd, which can't queue one while it reads a body. Nothing of another response has been sent
+    // by then. What the socket does not take at once is dropped.
+    void sendDirectly(int descriptor, const Response& response)
+    {
+        std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
+            + MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)) + "\r\nContent-Type: " + response.contentType
+            + "\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\nConnection: close\r\n";
+        if (response.retryAfter > 0)
+            text += "Retry-After: " + std::to_string(response.retryAfter) + "\r\n";
+        text += "\r\n" + response.body;
+        (void)send(descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
+    // What is known of one connection, for deadlines.
+    struct Connection {
+        int descriptor = -1;
+        enum class Phase : uint8_t {
+            // Between requests, or before the end of a request's headers.
+            Waiting,
+            ReadingBody,
+            // The request is complete or refused.
+            Answering,
+            Closing,
+        };
+        Phase phase = Phase::Waiting;
+        TimePoint since;
+        size_t received = 0;
+        size_t held = 0;
+    };
+
     // One HTTP exchange. The request is filled in by a server thread; the response may be set on any thread.
     struct Exchange {
         std::mutex mutex;
@@ -105,8 +165,10 @@
         Response response;
         bool started = false;
         bool answered = false;
-        bool oversized = false;
         int descriptor = -1;
+        // Bytes reserved for the whole request, and for its body alone.
+        size_t held = 0;
+        size_t bodyReserved = 0;
     };
 
 } // namespace
@@ -127,7 +189,6 @@
         { "verdict", toString(error.verdict) },
     };
     constexpr int statusTooMany = 429;
-    constexpr int statusUnavailable = 503;
     const bool retryLater = error.status == statusTooMany || error.status == statusUnavailable;
     const auto replace = nlohmann::json::error_handler_t::replace;
     return Response { error.status, body.dump(-1, ' ', false, replace), "application/problem+json", retryLater ? 1U : 0U };
@@ -144,27 +205,45 @@
     mutable std::mutex unansweredMutex;
     // Exchanges without a response, by number; filled only if `tracksCallers` is set.
     std::map<uint64_t, std::shared_ptr<Exchange>> unansweredExchanges;
+    std::mutex connectionsMutex;
+    std::condition_variable stopping;
+    bool stopped = false;
+    std::map<MHD_Connection*, Connection> connections;
+    std::atomic<bool> budgetWasUsedUp { false };
+    std::thread sweeper;
 
     static MHD_Result onAccess(void* user, MHD_Connection* connection, const char* url, const char* method,
         const char* /*version*/, const char* uploadData, size_t* uploadSize, void** slot)
     {
         auto* self = static_cast<Impl*>(user);
         if (*slot == nullptr) {
-            *slot = new std::shared_ptr<Exchange>(self->createExchange(connection, url, method));
-            return MHD_YES;
+            auto exchange = self->createExchange(connection, url, method);
+            *slot = new std::shared_ptr<Exchange>(exchange);
+            return self->admit(*exchange);
         }
         const std::shared_ptr<Exchange> exchange = *static_cast<std::shared_ptr<Exchange>*>(*slot);
         if (*uploadSize > 0) {
-            self->appendBody(*exchange, uploadData, *uploadSize);
+            const size_t size = *uploadSize;
             *uploadSize = 0;
-            return MHD_YES;
+            return self->appendBody(*exchange, uploadData, size);
         }
         if (!exchange->started)
             return self->dispatch(exchange);
         return queueResponse(connection, exchange->response, self->closesAfterResponse);
     }
 
-    static void onCompleted(void* user, MHD_Connection* /*connection*/, void** slot, MHD_RequestTerminationCode /*code*/)
+    static void onConnection(void* user, MHD_Connection* connection, void** /*context*/, MHD_ConnectionNotificationCode code)
+    {
+        auto* self = static_cast<Impl*>(user);
+        const std::lock_guard<std::mutex> lock(self->connectionsMutex);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            self->connections[connection] = { descriptorOf(connection), Connection::Phase::Waiting, monotonicNow(), 0, 0 };
+        else
+            // libmicrohttpd closes the descriptor after this call, so the sweeper never sees one that is used again.
+            self->connections.erase(connection);
+    }
+
+    static void onCompleted(void* user, MHD_Connection* connection, void** slot, MHD_RequestTerminationCode /*code*/)
     {
         if (*slot == nullptr)
             return;
@@ -172,6 +251,9 @@
         auto* exchange = static_cast<std::shared_ptr<Exchange>*>(*slot);
         if ((*exchange)->started)
             --self->pending;
+        if (self->options.budget)
+            self->options.budget->release((*exchange)->held);
+        self->enter(connection, Connection::Phase::Waiting, 0, 0);
         delete exchange;
         *slot = nullptr;
     }
@@ -190,25 +272,163 @@
         return exchange;
     }
 
-    void appendBody(Exchange& exchange, const char* data, size_t size) const
+    // Records the state of a connection. The deadline of a phase runs from its first call.
+    void enter(MHD_Connection* connection, Connection::Phase phase, size_t received, size_t held)
+    {
+        const std::lock_guard<std::mutex> lock(connectionsMutex);
+        const auto it = connections.find(connection);
+        if (it == connections.end() || it->second.phase == Connection::Phase::Closing)
+            return;
+        if (it->second.phase != phase)
+            it->second.since = monotonicNow();
+        it->second.phase = phase;
+        it->second.received = received;
+        it->second.held = held;
+    }
+
+    void reportRefusal(Refusal refusal) const
+    {
+        if (options.onRefused)
+            options.onRefused(refusal);
+    }
+
+    Response refuse(Refusal refusal)
+    {
+        reportRefusal(refusal);
+        if (refusal == Refusal::TooLarge)
+            return problem({ Verdict::NotRun, statusTooLarge, "allowed: " + std::to_string(options.bodyLimit) + " bytes" });
+        if (refusal == Refusal::TooSlow)
+            return problem({ Verdict::NotRun, statusTimeout, "the request was not complete in time" });
+        budgetWasUsedUp = true;
+        return problem({ Verdict::NotRun, statusUnavailable, "too many bytes are held in requests" });
+    }
+
+    bool reserve(Exchange& exchange, size_t more) const
+    {
+        if (options.budget && !options.budget->reserve(exchange.held, more))
+            return false;
+        exchange.held += more;
+        return true;
+    }
+
+    // Called at the end of the headers, before anything of the body is read. libmicrohttpd closes a connection whose request is
+    // answered here without reading its body.
+    MHD_Result admit(Exchange& exchange)
     {
-        if (exchange.request.body.size() + size > options.bodyLimit) {
-            exchange.oversized = true;
-            exchange.request.body.clear();
+        const size_t announced = announcedLength(exchange.connection);
+        size_t size = exchange.request.path.size();
+        for (const auto& it : exchange.request.headers)
+            size += it.first.size() + it.second.size() + headerOverhead;
+        for (const auto& it : exchange.request.query)
+            size += it.first.size() + it.second.size() + headerOverhead;
+        std::optional<Refusal> refusal;
+        if (announced > options.bodyLimit)
+            refusal = Refusal::TooLarge;
+        else if (!reserve(exchange, size + announced))
+            refusal = Refusal::BudgetUsed;
+        if (refusal) {
+            // The exchange lives until the connection has ended, and what it holds is not reserved.
+            exchange.request = {};
+            enter(exchange.connection, Connection::Phase::Answering, 0, 0);
+            return queueResponse(exchange.connection, refuse(*refusal), true);
+        }
+        exchange.bodyReserved = announced;
+        enter(exchange.connection, Connection::Phase::ReadingBody, 0, exchange.held);
+        return MHD_YES;
+    }
+
+    MHD_Result appendBody(Exchange& exchange, const char* data, size_t size)
+    {
+        std::string& body = exchange.request.body;
+        const size_t needed = body.size() + size;
+        std::optional<Refusal> refusal;
+        if (needed > options.bodyLimit) {
+            refusal = Refusal::TooLarge;
+        } else if (needed > exchange.bodyReserved) {
+            const size_t target = std::min(options.bodyLimit, std::max({ needed, 2 * exchange.bodyReserved, firstReservation }));
+            if (reserve(exchange, target - exchange.bodyReserved))
+                exchange.bodyReserved = target;
+            else
+                refusal = Refusal::BudgetUsed;
+        }
+        if (refusal) {
+            sendDirectly(descriptorOf(exchange.connection), refuse(*refusal));
+            return MHD_NO;
+        }
+        if (body.capacity() < exchange.bodyReserved)
+            body.reserve(exchange.bodyReserved);
+        body.append(data, size);
+        enter(exchange.connection, Connection::Phase::ReadingBody, body.size(), exchange.held);
+        return MHD_YES;
+    }
+
+    // Ends a connection from outside its thread: libmicrohttpd finds it closed by the caller. Requires `connectionsMutex`.
+    void end(Connection& connection, Refusal refusal)
+    {
+        if (connection.phase == Connection::Phase::ReadingBody)
+            sendDirectly(connection.descriptor, refuse(refusal));
+        else
+            reportRefusal(refusal);
+        shutdown(connection.descriptor, SHUT_RDWR);
+        connection.phase = Connection::Phase::Closing;
+    }
+
+    void sweep(TimePoint now)
+    {
+        const std::lock_guard<std::mutex> lock(connectionsMutex);
+        const Duration headerDeadline = std::chrono::seconds(options.idleSeconds) + headerGrace;
+        std::vector<Connection*> slowest;
+        for (auto& [key, it] : connections) {
+            const Duration age = now - it.since;
+            const bool readsBody = it.phase == Connection::Phase::ReadingBody;
+            if ((it.phase == Connection::Phase::Waiting && age > headerDeadline) || (readsBody && age > options.bodyDeadline))
+                end(it, Refusal::TooSlow);
+            else if (readsBody && age > shedAge)
+                slowest.push_back(&it);
+        }
+        if (!budgetWasUsedUp)
+            return;
+        const size_t wanted = options.budget->limit() / shedDivisor;
+        if (options.budget->held() + wanted <= options.budget->limit()) {
+            budgetWasUsedUp = false;
+            return;
+        }
+        const auto bytesPerMs = [now](const Connection* it) { return it->received / static_cast<size_t>(toMs(now - it->since)); };
+        std::sort(slowest.begin(), slowest.end(),
+            [&](const Connection* a, const Connection* b) { return bytesPerMs(a) < bytesPerMs(b); });
+        size_t freed = 0;
+        for (size_t i = 0; i < slowest.size() && freed < wanted; ++i) {
+            freed += slowest[i]->held;
+            end(*slowest[i], Refusal::Shed);
+        }
+    }
+
+    void runSweeper()
+    {
+        std::unique_lock<std::mutex> lock(connectionsMutex);
+        while (!stopping.wait_for(lock, sweepInterval, [this] { return stopped; })) {
+            lock.unlock();
+            sweep(monotonicNow());
+            lock.lock();
         }
-        if (!exchange.oversized)
-            exchange.request.body.append(data, size);
+    }
+
+    void stopSweeper()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(connectionsMutex);
+            stopped = true;
+        }
+        stopping.notify_all();
+        if (sweeper.joinable())
+            sweeper.join();
     }
 
     MHD_Result dispatch(const std::shared_ptr<Exchange>& exchange)
     {
         exchange->started = true;
         ++pending;
-        if (exchange->oversized) {
-            const std::string limit = std::to_string(options.bodyLimit);
-            return queueResponse(exchange->connection,
-                problem({ Verdict::NotRun, statusTooLarge, "allowed: " + limit + " bytes" }), closesAfterResponse);
-        }
+        enter(exchange->connection, Connection::Phase::Answering, 0, 0);
         // After this process has stood still, the request may be older than its caller's patience, and the caller may have sent
         // it again elsewhere.
         if (options.tracksCallers && isGone(descriptorOf(exchange->connection))) {
@@ -221,6 +441,13 @@
         exchange->request.exchange = number;
         if (options.tracksCallers)
             addUnanswered(number, exchange);
+        exchange->request.reserve = [this, exchange](size_t bytes) {
+            if (reserve(*exchange, bytes))
+                return true;
+            reportRefusal(Refusal::BudgetUsed);
+            budgetWasUsedUp = true;
+            return false;
+        };
         handler(std::move(exchange->request), [this, exchange, number](Response response) {
             if (options.tracksCallers)
                 removeUnanswered(number);
@@ -282,6 +509,7 @@
     // The daemon may be stopped only after all suspended connections were resumed, which is up to the owner of the handler.
     for (int n = 0; n < maxDrainPolls && m_impl->pending > 0; ++n)
         std::this_thread::sleep_for(drainPollInterval);
+    m_impl->stopSweeper();
     if (m_impl->daemon != nullptr)
         MHD_stop_daemon(m_impl->daemon);
     if (m_impl->quiescedDescriptor >= 0)
@@ -298,10 +526,12 @@
     const MHD_OPTION poolOption = threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END;
     m_impl->daemon = MHD_start_daemon(flags, m_impl->options.listen.port, nullptr, nullptr, &Impl::onAccess, m_impl.get(),
         MHD_OPTION_SOCK_ADDR, &listenAddress.storage, MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, m_impl.get(),
+        MHD_OPTION_NOTIFY_CONNECTION, &Impl::onConnection, m_impl.get(), MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemory,
         MHD_OPTION_CONNECTION_LIMIT, m_impl->options.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT, m_impl->options.idleSeconds,
         poolOption, threads, MHD_OPTION_END);
     if (m_impl->daemon == nullptr)
         return tl::unexpected(Error { Verdict::NotRun, 500, m_impl->options.listen.text() + ": can't listen" });
+    m_impl->sweeper = std::thread([impl = m_impl.get()] { impl->runSweeper(); });
     return {};
 }
 
--- a/fescuegw/http/Server.h
+++ b/fescuegw/http/Server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fescuegw/base/Types.h"
+#include "fescuegw/http/BodyBudget.h"
 #include "fescuegw/settings/Settings.h"
 
 namespace fescuegw::http {
@@ -26,6 +27,9 @@
     std::map<std::string, std::string> headers;
     // Number of the exchange within its server, as returned by `Server::goneCallers`.
     uint64_t exchange = 0;
+    // Reserves bytes for what the handler keeps of the request beside its body until the response. Returns false if the budget is
+    // used up. May be called by the handler only, before it returns or responds; empty for requests of other origin.
+    std::function<bool(size_t)> reserve;
 
     // Returns the value of the header `name` (in lower case), or "".
     std::string header(const std::string& name) const;
@@ -52,12 +56,30 @@
 
 using Handler = std::function<void(Request, Responder)>;
 
+// Why a request was not read to its end.
+enum class Refusal : uint8_t {
+    // The body exceeds the limit.
+    TooLarge,
+    // The budget of held bytes is used up.
+    BudgetUsed,
+    // The headers or the body were not complete in time.
+    TooSlow,
+    // The connection was among the slowest while the budget was used up.
+    Shed,
+};
+
 struct ServerOptions {
     settings::Address listen;
     uint32_t threads = 2;
     uint32_t connectionLimit = 4096;
     uint32_t idleSeconds = 30;
     size_t bodyLimit = 4U << 20U;
+    // Time from the end of the headers to the end of the body.
+    Duration bodyDeadline = std::chrono::seconds(20);
+    // Bounds the bytes held in requests until they are answered; none if empty. Servers may share a budget.
+    std::shared_ptr<BodyBudget> budget;
+    // Called on a thread of the server, for each request that is refused.
+    std::function<void(Refusal)> onRefused;
     // Whether `Server::goneCallers` is used. A request whose caller has gone when it has been read does not reach the handler.
     bool tracksCallers = false;
     // Called on a thread of the server with such a request.
