--- a/fescuegw/http/Json.cpp
+++ b/fescuegw/http/Json.cpp
@@ -17,11 +17,11 @@
                 ++i;
             else if (c == '"')
                 inString = !inString;
-            else if (!inString && (c == '[' || c == '{' || c == ',') && ++values > maxJsonValues)
-                return true;
-            else if (!inString && (c == '[' || c == '{') && ++depth > maxJsonDepth)
-                return true;
-            else if (!inString && (c == ']' || c == '}') && depth > 0)
+            else if (!inString && (c == '[' || c == '{' || c == ',')) {
+                depth += c == ',' ? 0 : 1;
+                if (depth > maxJsonDepth || ++values > maxJsonValues)
+                    return true;
+            } else if (!inString && (c == ']' || c == '}') && depth > 0)
                 --depth;
         }
         return false;
