--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -262,20 +262,20 @@
     std::optional<TimePoint> m_lastListingAt;
     // When the last listing of the known process was handled.
     TimePoint m_lastListingHandledAt;
-    // There has been no listing since a hold failed, or an order met another process.
-    bool m_holdFailed = false;
     std::optional<TimePoint> m_holdFailedAt;
     // When the last lease that this agent has given is over: at the known process, and at any.
     TimePoint m_leasesExpireAt;
     TimePoint m_longestLeasesExpireAt;
     // Attempts that were lost while the upstream was out of reach: it may have crashed under them.
     std::vector<wire::AttemptKey> m_possiblyCrashed;
+    std::set<std::string> m_drainedDomains;
+    WarmUp m_warmUp;
+    // There has been no listing since a hold failed, or an order met another process.
+    bool m_holdFailed = false;
     bool m_departed = false;
     bool m_draining = false;
     // The last value of `isDomainDrained` that was logged.
     bool m_drainLogged = false;
-    std::set<std::string> m_drainedDomains;
-    WarmUp m_warmUp;
 };
 
 } // namespace fescuegw::arbiter
