A request that was refused while its body ended does not run

The sweeper of the HTTP server could refuse a body as not run between its last byte and its dispatch. The entry noticed the closed connection, other endpoints handled the request all the same. Now dispatch asks for the state of the connection first. By reading; the order of the two threads can't be forced in a test.

A test that load shedding refuses nothing when it is turned off; it holds without a change.

--- a/fescuegw/direct/LoadShedderTest.cpp
+++ b/fescuegw/direct/LoadShedderTest.cpp
@@ -185,3 +185,15 @@
     const TimePoint later = queue.now + std::chrono::seconds(6);
     cr_assert(queue.shedder.admits(later, { 1, 1 }));
 }
+
+// Turned off by the setting, it must neither refuse nor report that it does.
+Test(load_shedder, admitsEverythingWhenDisabled)
+{
+    LoadShedderOptions options;
+    options.enabled = false;
+    Queue queue(options);
+    queue.run(3, 0.4, std::chrono::seconds(2));
+    for (size_t n = 0; n < 3; ++n)
+        cr_assert_eq(queue.share(n), 1.0);
+    cr_assert_eq(queue.shedder.admittedPercent(false), 100.0);
+}
--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -272,18 +272,20 @@
         return exchange;
     }
 
-    // Records the state of a connection. The deadline of a phase runs from its first call.
-    void enter(MHD_Connection* connection, Connection::Phase phase, size_t received, size_t held)
+    // Records the state of a connection. The deadline of a phase runs from its first call. Returns false if the sweeper has ended
+    // the connection.
+    bool enter(MHD_Connection* connection, Connection::Phase phase, size_t received, size_t held)
     {
         const std::lock_guard<std::mutex> lock(connectionsMutex);
         const auto it = connections.find(connection);
         if (it == connections.end() || it->second.phase == Connection::Phase::Closing)
-            return;
+            return false;
         if (it->second.phase != phase)
             it->second.since = monotonicNow();
         it->second.phase = phase;
         it->second.received = received;
         it->second.held = held;
+        return true;
     }
 
     void reportRefusal(Refusal refusal) const
@@ -428,7 +430,9 @@
     {
         exchange->started = true;
         ++pending;
-        enter(exchange->connection, Connection::Phase::Answering, 0, 0);
+        // The body was complete when the sweeper refused the request as not run, so it must not run.
+        if (!enter(exchange->connection, Connection::Phase::Answering, 0, 0))
+            return MHD_NO;
         // After this process has stood still, the request may be older than its caller's patience, and the caller may have sent
         // it again elsewhere.
         if (options.tracksCallers && isGone(descriptorOf(exchange->connection))) {
