HTTP server: requests without a response no longer end the process when the server is destroyed

Cause: libmicrohttpd ends the process if a daemon is stopped while a connection is suspended. The destructor waited up to 2 s for the responses and then stopped the daemon. Callers with open connections could also begin exchanges until it stopped.

Change: while a server is destroyed, requests do not reach the handler, and the connections of those that have no response after the wait are closed. A response after that is ignored without use of the server.

--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -203,8 +203,10 @@
     std::atomic<uint64_t> lastExchange { 0 };
     std::atomic<bool> closesAfterResponse { false };
     mutable std::mutex unansweredMutex;
-    // Exchanges without a response, by number; filled only if `tracksCallers` is set.
+    // Exchanges whose connections are suspended, by number.
     std::map<uint64_t, std::shared_ptr<Exchange>> unansweredExchanges;
+    // Guarded by `unansweredMutex`.
+    bool refusesRequests = false;
     std::mutex connectionsMutex;
     std::condition_variable stopping;
     bool stopped = false;
@@ -440,11 +442,10 @@
                 options.onDropped(exchange->request);
             return MHD_NO;
         }
-        MHD_suspend_connection(exchange->connection);
         const uint64_t number = ++lastExchange;
         exchange->request.exchange = number;
-        if (options.tracksCallers)
-            addUnanswered(number, exchange);
+        if (!suspend(number, exchange))
+            return MHD_NO;
         exchange->request.reserve = [this, exchange](size_t bytes) {
             if (reserve(*exchange, bytes))
                 return true;
@@ -452,30 +453,56 @@
             budgetWasUsedUp = true;
             return false;
         };
-        handler(std::move(exchange->request), [this, exchange, number](Response response) {
-            if (options.tracksCallers)
-                removeUnanswered(number);
-            const std::lock_guard<std::mutex> lock(exchange->mutex);
-            if (exchange->answered)
-                return;
-            exchange->answered = true;
-            exchange->response = std::move(response);
-            MHD_resume_connection(exchange->connection);
-        });
+        handler(std::move(exchange->request),
+            [this, exchange, number](Response response) { respond(number, *exchange, std::move(response)); });
         return MHD_YES;
     }
 
-    void addUnanswered(uint64_t number, const std::shared_ptr<Exchange>& exchange)
+    // Returns false if the server is being destroyed: the responder would come after the daemon has stopped.
+    bool suspend(uint64_t number, const std::shared_ptr<Exchange>& exchange)
     {
         exchange->descriptor = descriptorOf(exchange->connection);
         const std::lock_guard<std::mutex> lock(unansweredMutex);
+        if (refusesRequests)
+            return false;
+        MHD_suspend_connection(exchange->connection);
         unansweredExchanges[number] = exchange;
+        return true;
+    }
+
+    // The first response counts. After a response from `closeUnanswered` the server may be gone, so nothing of it is used then.
+    void respond(uint64_t number, Exchange& exchange, Response response)
+    {
+        const std::lock_guard<std::mutex> lock(exchange.mutex);
+        if (exchange.answered)
+            return;
+        exchange.answered = true;
+        exchange.response = std::move(response);
+        {
+            const std::lock_guard<std::mutex> unansweredLock(unansweredMutex);
+            unansweredExchanges.erase(number);
+        }
+        MHD_resume_connection(exchange.connection);
     }
 
-    void removeUnanswered(uint64_t number)
+    void refuseRequests()
     {
         const std::lock_guard<std::mutex> lock(unansweredMutex);
-        unansweredExchanges.erase(number);
+        refusesRequests = true;
+    }
+
+    // Closes the connections that are still suspended: libmicrohttpd ends the process if its daemon is stopped with one.
+    void closeUnanswered()
+    {
+        std::map<uint64_t, std::shared_ptr<Exchange>> exchanges;
+        {
+            const std::lock_guard<std::mutex> lock(unansweredMutex);
+            exchanges = unansweredExchanges;
+        }
+        Response closed;
+        closed.status = 0;
+        for (const auto& [number, it] : exchanges)
+            respond(number, *it, closed);
     }
 
     // libmicrohttpd does not read from suspended connections and so does not detect a caller that disconnects. No descriptor can
@@ -510,9 +537,11 @@
 Server::~Server()
 {
     quiesce();
-    // The daemon may be stopped only after all suspended connections were resumed, which is up to the owner of the handler.
+    // Callers with open connections would otherwise begin exchanges until the daemon stops.
+    m_impl->refuseRequests();
     for (int n = 0; n < maxDrainPolls && m_impl->pending > 0; ++n)
         std::this_thread::sleep_for(drainPollInterval);
+    m_impl->closeUnanswered();
     m_impl->stopSweeper();
     if (m_impl->daemon != nullptr)
         MHD_stop_daemon(m_impl->daemon);
--- a/fescuegw/http/Server.h
+++ b/fescuegw/http/Server.h
@@ -91,6 +91,8 @@
 class Server {
 public:
     Server(ServerOptions, Handler);
+    // Waits up to 2 s for the responses to requests that were read, then closes the connections of the others. Requests that
+    // arrive meanwhile do not reach the handler.
     ~Server();
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
--- a/fescuegw/http/ServerTest.cpp
+++ b/fescuegw/http/ServerTest.cpp
@@ -222,6 +222,34 @@
     close(present);
 }
 
+// Guards against the end of the process by libmicrohttpd, which allows no daemon to stop with suspended connections. A response
+// after the end of the server must not use it.
+Test(Server, isDestroyedWithUnansweredRequests)
+{
+    Responder late;
+    int connection = -1;
+    {
+        std::mutex mutex;
+        std::condition_variable held;
+        const uint16_t port = freePort();
+        ServerOptions options;
+        options.listen = { "127.0.0.1", port };
+        options.threads = 1;
+        Server server(options, [&](const Request& /*request*/, const Responder& respond) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            late = respond;
+            held.notify_all();
+        });
+        cr_assert(server.start().has_value());
+        connection = sendRequest(port, "/unanswered");
+        std::unique_lock<std::mutex> lock(mutex);
+        cr_assert(held.wait_for(lock, waitLimit, [&] { return late != nullptr; }));
+    }
+    cr_assert_eq(readToEnd(connection), "");
+    late({ 200, "{}" });
+    close(connection);
+}
+
 // A body over the limit is refused before it is sent; reading it to its end would keep the connection occupied.
 Test(Server, anAnnouncedBodyOverTheLimitIsRefusedAtOnce)
 {
