Demand and grants by priority, in turn among entries

Cause: an entry told agents the priority of its first waiting task and the number of all of them. One urgent task thus brought grants for all its tasks, before the urgent tasks of other entries.

Change: demand has a level for each priority, each shared out among the agents of a round by itself. Agents grant by priority over all entries, and within a priority to the entry that has been granted the smallest part of its demand. Messages without levels count as one level. fescuegw_agent_grants_total is by priority.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -23,6 +23,9 @@
     // Minimum time from sending a failed hold to the next one: an upstream that is down refuses connections at once.
     constexpr Duration holdRetryInterval = std::chrono::milliseconds(30);
 
+    // Less urgent priorities share the label of this one.
+    constexpr size_t maxLabelledPriority = 3;
+
     constexpr std::string_view entryPrefix = "entry-";
 
     std::string entryLinkName(const std::string& address) { return std::string(entryPrefix) + address; }
@@ -51,9 +54,9 @@
               [this](uint64_t serial, const StartOrder& order) { m_upstream->start(serial, order); },
               [this](const StopOrder& order) { m_upstream->stop(order); },
               [this](const std::string& entry, const wire::AttemptReport& it) { report(entry, it); },
-              [this](const std::string& entry, const wire::Grant& it) {
-                  m_grants.Increment();
-                  m_links.grant(entry, it);
+              [this](const GrantBook::Granted& it) {
+                  m_grants[std::min<size_t>(it.priority, maxLabelledPriority)]->Increment();
+                  m_links.grant(it.entry, it.grant);
               },
               [this](TimePoint now, const wire::AttemptReport& it) { m_links.broadcast(now, it); },
           })
@@ -64,9 +67,11 @@
     , m_notStarted(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "not_started"))
     , m_running(metrics.gauge("fescuegw_agent_running", "Attempts that hold room"))
     , m_drained(metrics.gauge("fescuegw_agent_drained", "1 while the failure domain of the upstream is drained"))
-    , m_grants(metrics.counter("fescuegw_agent_grants_total", "Grants of room to entries"))
     , m_run(metrics.latency("fescuegw_agent_run_ms", "How long attempts ran"))
 {
+    for (size_t priority = 0; priority <= maxLabelledPriority; ++priority)
+        m_grants.push_back(&metrics.counter(
+            "fescuegw_agent_grants_total", "Grants of room to entries, by priority", "p" + std::to_string(priority)));
 }
 
 Result<void> ArbiterServer::start()
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -82,7 +82,8 @@
     prometheus::Counter& m_notStarted;
     prometheus::Gauge& m_running;
     prometheus::Gauge& m_drained;
-    prometheus::Counter& m_grants;
+    // By priority.
+    std::vector<prometheus::Counter*> m_grants;
     prometheus::Histogram& m_run;
 };
 
--- a/fescuegw/arbiter/GrantBook.cpp
+++ b/fescuegw/arbiter/GrantBook.cpp
@@ -1,32 +1,47 @@
 #include "fescuegw/arbiter/GrantBook.h"
 
+#include <algorithm>
+
 #include "fescuegw/wire/Direct.h"
 
 namespace fescuegw::arbiter {
 
 void GrantBook::onDemand(TimePoint now, const std::string& entry, const wire::Demand& demand)
 {
-    if (demand.tasks() == 0)
+    EntryDemand entryDemand { {}, now };
+    for (const auto& it : wire::levelsOf(demand))
+        if (it.tasks() > 0)
+            entryDemand.levels.push_back({ it.priority(), it.tasks(), now - std::chrono::milliseconds(it.waited_ms()),
+                wire::toResources(it.need()), wire::toResources(it.largest_need()), 0 });
+    std::stable_sort(entryDemand.levels.begin(), entryDemand.levels.end(),
+        [](const Level& a, const Level& b) { return a.priority < b.priority; });
+    if (entryDemand.levels.empty())
         m_demands.erase(entry);
     else
-        m_demands[entry] = EntryDemand { demand, now, 0 };
+        m_demands[entry] = std::move(entryDemand);
+}
+
+// Within a priority, the entry that has been granted the smallest part of its demand is next, so that one with many tasks does
+// not get all grants before one with few.
+bool GrantBook::precedes(const Level& a, const Level& b)
+{
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    const uint64_t partOfA = uint64_t { a.grantsIssued } * b.tasks;
+    const uint64_t partOfB = uint64_t { b.grantsIssued } * a.tasks;
+    return partOfA != partOfB ? partOfA < partOfB : a.waitingSince < b.waitingSince;
 }
 
-std::map<std::string, GrantBook::EntryDemand>::iterator GrantBook::mostUrgent(TimePoint now, const Resources& free)
+GrantBook::Candidate GrantBook::nextCandidate(TimePoint now, const Resources& free)
 {
-    const auto waitingSince
-        = [](const EntryDemand& it) { return it.receivedAt - std::chrono::milliseconds(it.demand.waited_ms()); };
-    auto best = m_demands.end();
-    for (auto it = m_demands.begin(); it != m_demands.end(); ++it) {
-        const EntryDemand& entryDemand = it->second;
-        const bool stale = now - entryDemand.receivedAt > m_options.demandLifetime;
-        if (stale || entryDemand.grantsIssued >= entryDemand.demand.tasks()
-            || !wire::toResources(entryDemand.demand.need()).fitsInto(free))
+    Candidate best;
+    for (auto& [entry, demand] : m_demands) {
+        if (now - demand.receivedAt > m_options.demandLifetime)
             continue;
-        if (best == m_demands.end() || entryDemand.demand.priority() < best->second.demand.priority()
-            || (entryDemand.demand.priority() == best->second.demand.priority()
-                && waitingSince(entryDemand) < waitingSince(best->second)))
-            best = it;
+        const auto level = std::find_if(demand.levels.begin(), demand.levels.end(),
+            [&](const Level& it) { return it.grantsIssued < it.tasks && it.need.fitsInto(free); });
+        if (level != demand.levels.end() && (best.level == nullptr || precedes(*level, *best.level)))
+            best = { &entry, &*level };
     }
     return best;
 }
@@ -35,18 +50,18 @@
 {
     std::vector<Granted> granted;
     while (granted.size() < maxGrants) {
-        const auto it = mostUrgent(now, free);
-        if (it == m_demands.end())
+        const Candidate next = nextCandidate(now, free);
+        if (next.level == nullptr)
             break;
+        Level& level = *next.level;
         // Another task may be the most urgent one when the grant arrives, so it covers the largest need as far as `free` allows.
-        const wire::Demand& demand = it->second.demand;
-        const Resources need = wire::toResources(demand.need());
-        const Resources room = componentMax(need, componentMin(free, wire::toResources(demand.largest_need())));
+        const Resources room = componentMax(level.need, componentMin(free, level.largestNeed));
         free -= room;
-        ++it->second.grantsIssued;
+        ++level.grantsIssued;
         m_reservations[++m_lastGrantId] = Reservation { room, now + m_options.grantLifetime };
         Granted& added = granted.emplace_back();
-        added.entry = it->first;
+        added.entry = *next.entry;
+        added.priority = level.priority;
         added.grant.set_id(m_lastGrantId);
         *added.grant.mutable_room() = wire::toWire(room);
     }
--- a/fescuegw/arbiter/GrantBook.h
+++ b/fescuegw/arbiter/GrantBook.h
@@ -28,6 +28,7 @@
 public:
     struct Granted {
         std::string entry;
+        uint32_t priority = 0;
         wire::Grant grant;
     };
 
@@ -52,11 +53,26 @@
     size_t reservationCount() const { return m_reservations.size(); }
 
 private:
+    // The tasks of one priority that wait at an entry.
+    struct Level {
+        uint32_t priority = 0;
+        uint32_t tasks = 0;
+        TimePoint waitingSince;
+        Resources need;
+        Resources largestNeed;
+        // Grants issued for it since the demand was received.
+        uint32_t grantsIssued = 0;
+    };
+
     struct EntryDemand {
-        wire::Demand demand;
+        std::vector<Level> levels;
         TimePoint receivedAt;
-        // Grants issued since this demand was received.
-        uint32_t grantsIssued = 0;
+    };
+
+    // The level of an entry that is granted next.
+    struct Candidate {
+        const std::string* entry = nullptr;
+        Level* level = nullptr;
     };
 
     struct Reservation {
@@ -64,7 +80,8 @@
         TimePoint expiresAt;
     };
 
-    std::map<std::string, EntryDemand>::iterator mostUrgent(TimePoint now, const Resources& free);
+    static bool precedes(const Level&, const Level&);
+    Candidate nextCandidate(TimePoint now, const Resources& free);
 
     GrantOptions m_options;
     std::map<std::string, EntryDemand> m_demands;
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -870,7 +870,7 @@
     if (granted.empty() && isUnused())
         granted = m_grants.grant(now, m_announcement->capacity, 1);
     for (const auto& it : granted)
-        m_hooks.grant(it.entry, it.grant);
+        m_hooks.grant(it);
 }
 
 wire::UpstreamOffer RunTable::offer(TimePoint now) const
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -57,7 +57,7 @@
     std::function<void(const StopOrder&)> stop;
     // `entry` is the identity of the process that asked for the attempt.
     std::function<void(const std::string& entry, const wire::AttemptReport&)> report;
-    std::function<void(const std::string& entry, const wire::Grant&)> grant;
+    std::function<void(const GrantBook::Granted&)> grant;
     // For all entries.
     std::function<void(TimePoint now, const wire::AttemptReport&)> broadcast;
 };
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -17,7 +17,7 @@
             { [this](uint64_t serial, const StartOrder& order) { starts.emplace_back(serial, order); },
                 [this](const StopOrder& order) { stops.push_back(order); },
                 [this](const std::string& entry, const wire::AttemptReport& report) { reports.emplace_back(entry, report); },
-                [this](const std::string& entry, const wire::Grant& grant) { grants.emplace_back(entry, grant); },
+                [this](const GrantBook::Granted& it) { grants.emplace_back(it.entry, it.grant); },
                 [this](TimePoint, const wire::AttemptReport& report) { broadcasts.push_back(report); } })
     {
         if (!announced)
--- a/fescuegw/direct/DemandNotifier.h
+++ b/fescuegw/direct/DemandNotifier.h
@@ -29,7 +29,8 @@
 
 // Limits the cost of demand messages when the load exceeds the capacity of many upstreams: if every entry notified every agent,
 // these messages would use up the processors of entries and agents when both are busiest. A few agents are notified in turn,
-// each of a share of the demand. Not thread-safe.
+// each of a share of the demand. The tasks of
+// each priority are shared out by themselves, so that an agent knows how many urgent ones wait. Not thread-safe.
 class DemandNotifier {
 public:
     explicit DemandNotifier(DemandNotifierOptions options = {})
@@ -46,12 +47,17 @@
 
 private:
     struct Round {
-        wire::Demand share;
+        wire::Demand waiting;
+        // Number of agents that are notified.
+        size_t agents = 0;
         TimePoint due;
         // The last agent notified: the next round continues after it.
         AgentId last;
     };
 
+    // Returns the part of the demand of which the agent at `position` of the round is notified.
+    wire::Demand shareOf(const Round&, size_t position) const;
+
     DemandNotifierOptions m_options;
     std::map<std::string, Round> m_rounds;
 };
--- a/fescuegw/direct/OfferTable.h
+++ b/fescuegw/direct/OfferTable.h
@@ -36,6 +36,8 @@
     // Whether and when the agent was last notified of tasks that wait here.
     TimePoint demandNotifiedAt;
     bool demandNotified = false;
+    // Its position among the agents of that round.
+    size_t demandPosition = 0;
     // Offer interval last sent to the agent, in milliseconds.
     uint32_t sentOfferInterval = 0;
 };
--- a/fescuegw/direct/PendingTaskQueue.cpp
+++ b/fescuegw/direct/PendingTaskQueue.cpp
@@ -9,22 +9,25 @@
 wire::Demand PendingTaskQueue::demand(TimePoint now, const std::string& service) const
 {
     wire::Demand demand;
+    wire::DemandLevel* level = nullptr;
     Resources largest;
     for (const auto& it : m_tasks) {
         const PendingTask& task = it.second;
         if (task.service != service)
             continue;
-        if (demand.tasks() == 0) {
-            demand.set_priority(it.first.priority);
-            demand.set_waited_ms(
+        if (level == nullptr || (level->priority() != it.first.priority && demand.levels_size() < wire::maxDemandLevels)) {
+            level = demand.add_levels();
+            level->set_priority(it.first.priority);
+            level->set_waited_ms(
                 static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - task.since).count()));
-            *demand.mutable_need() = wire::toWire(task.need);
+            *level->mutable_need() = wire::toWire(task.need);
+            largest = {};
         }
-        demand.set_tasks(demand.tasks() + 1);
         largest = componentMax(largest, task.need);
+        level->set_tasks(level->tasks() + 1);
+        *level->mutable_largest_need() = wire::toWire(largest);
     }
-    if (demand.tasks() > 0)
-        *demand.mutable_largest_need() = wire::toWire(largest);
+    wire::summarizeLevels(demand);
     return demand;
 }
 
--- a/fescuegw/direct/PendingTaskQueue.h
+++ b/fescuegw/direct/PendingTaskQueue.h
@@ -44,7 +44,8 @@
     size_t size() const { return m_tasks.size(); }
     const std::map<QueuePosition, PendingTask>& tasks() const { return m_tasks; }
 
-    // Returns the demand for upstreams of `service`; without tasks when none waits.
+    // Returns the demand for upstreams of `service`; without tasks when none waits. Priorities beyond
+    // `wire::maxDemandLevels` are part of the last level.
     wire::Demand demand(TimePoint now, const std::string& service) const;
 
     // Returns the longest time that a task of `service` with `priority` or a more urgent one has waited so far.
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -122,7 +122,7 @@
         };
         hooks.stop = [this, &host](const StopOrder& it) { schedule(upstreamDelay, [this, &host, it] { stopRun(host, it); }); };
         hooks.report = [&host](const std::string& entry, const wire::AttemptReport& it) { host.links.report(entry, it); };
-        hooks.grant = [&host](const std::string& entry, const wire::Grant& it) { host.links.grant(entry, it); };
+        hooks.grant = [&host](const GrantBook::Granted& it) { host.links.grant(it.entry, it.grant); };
         hooks.broadcast = [&host](TimePoint now, const wire::AttemptReport& it) { host.links.broadcast(now, it); };
         host.table = std::make_unique<RunTable>(RunTableOptions(), 1, hooks);
         host.links.onView(m_now, view);
@@ -178,6 +178,13 @@
     m_now = until;
 }
 
+void LoadModel::setWeight(const std::string& jobClass, double weight)
+{
+    for (auto& it : m_options.classes)
+        if (it.name == jobClass)
+            it.weight = weight;
+}
+
 void LoadModel::setSlowness(size_t agent, double factor) { m_agents[agent]->slowness = factor; }
 
 void LoadModel::setReplyLossRate(size_t agent, double share) { m_agents[agent]->replyLossRate = share; }
@@ -204,7 +211,7 @@
         }
         drawn -= it.weight;
     }
-    EntryHost& entry = entryOfNextArrival();
+    EntryHost& entry = entryOfNextArrival(*chosen);
     const JobClass job = *chosen;
     schedule(m_options.linkDelay,
         [this, &entry, job] { runOnEntry(entry, m_options.jobCost, [this, &entry, job] { submit(entry, job); }); });
@@ -212,8 +219,10 @@
     schedule(std::chrono::microseconds(static_cast<int64_t>(gap * 1e6)), [this] { generateArrival(); });
 }
 
-LoadModel::EntryHost& LoadModel::entryOfNextArrival()
+LoadModel::EntryHost& LoadModel::entryOfNextArrival(const JobClass& job)
 {
+    if (job.entry)
+        return *m_entries[*job.entry];
     if (m_callers.empty())
         return *m_entries[m_random() % m_entries.size()];
     return *m_entries[m_callers[m_random() % m_callers.size()]];
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -27,6 +28,8 @@
     uint32_t priority = 0;
     // Each upstream that starts a task of such a job crashes, while `setDeadly` says so.
     bool deadly = false;
+    // The entry to which all jobs of the class are sent; otherwise that of a caller, or a random one.
+    std::optional<size_t> entry {};
 };
 
 struct ModelOptions {
@@ -87,9 +90,10 @@
     // Advances virtual time.
     void run(Duration);
 
-    // Take effect at once: the factor on the arrival rate, the factor on an upstream's run times, the fraction of an upstream's
-    // replies that is lost, and whether all tasks of an upstream fail.
+    // Take effect at once: the factor on the arrival rate, the weight of a class, the factor on an upstream's run times, the
+    // fraction of an upstream's replies that is lost, and whether all tasks of an upstream fail.
     void setLoadFactor(double factor) { m_loadFactor = factor; }
+    void setWeight(const std::string& jobClass, double weight);
     void setSlowness(size_t agent, double factor);
     void setReplyLossRate(size_t agent, double share);
     void setFailing(size_t agent, bool failing);
@@ -115,7 +119,7 @@
     void schedule(Duration, std::function<void()>);
     double uniform();
     void generateArrival();
-    EntryHost& entryOfNextArrival();
+    EntryHost& entryOfNextArrival(const JobClass&);
     void submit(EntryHost&, const JobClass&);
     // Runs `work` on the entry's simulated CPU, which is then busy for `cost` divided by its share of a core.
     void runOnEntry(EntryHost&, Duration cost, std::function<void()> work);
--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -453,7 +453,7 @@
                 agent.openRuns.erase({ it.key().job(), it.key().step(), it.key().index() });
             agent.links->report(entry, it);
         };
-        hooks.grant = [&agent](const std::string& entry, const wire::Grant& it) { agent.links->grant(entry, it); };
+        hooks.grant = [&agent](const GrantBook::Granted& it) { agent.links->grant(it.entry, it.grant); };
         hooks.broadcast = [&agent](TimePoint now, const wire::AttemptReport& it) { agent.links->broadcast(now, it); };
         agent.table = std::make_unique<RunTable>(RunTableOptions(), agent.id.incarnation, hooks);
     }
