Uneven upstreams: ejection by share and by flapping, delay of lost answers, probes of slow ones

Cause: an upstream was ejected only after three failures in a row, so one that fails a third of its tasks was used like the others. Lost answers did not count at all. The slowness of an upstream was forgotten when its tasks were moved away, and measured again only by tasks that nobody placed there.

Change: ejection by the share of failed jobs and by returns in quick succession, with a backoff that grows until a calm time; at most a third of the agents that an entry knows is out. The share of unanswered orders is offered as a delay. The slowness that several jobs show is kept, and an idle slow upstream is probed with one task. Failed tasks are retried in another failure domain.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -59,6 +59,7 @@
                   m_links.grant(it.entry, it.grant);
               },
               [this](TimePoint now, const wire::AttemptReport& it) { m_links.broadcast(now, it); },
+              [this](EjectionCause cause) { m_ejections.at(static_cast<size_t>(cause))->Increment(); },
           })
     , m_links(m_settings.process.name, m_settings.links)
     , m_done(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "done"))
@@ -67,8 +68,12 @@
     , m_notStarted(metrics.counter("fescuegw_agent_attempts_total", "Attempts that ended, by how", "not_started"))
     , m_running(metrics.gauge("fescuegw_agent_running", "Attempts that hold room"))
     , m_drained(metrics.gauge("fescuegw_agent_drained", "1 while the failure domain of the upstream is drained"))
+    , m_ejected(metrics.gauge("fescuegw_agent_ejected", "1 while the upstream is ejected for the outcomes of its tasks"))
     , m_run(metrics.latency("fescuegw_agent_run_ms", "How long attempts ran"))
 {
+    for (const EjectionCause it : { EjectionCause::ConsecutiveFailures, EjectionCause::FailureShare, EjectionCause::Flapping })
+        m_ejections.push_back(
+            &metrics.counter("fescuegw_agent_ejections_total", "Ejections of the upstream, by cause", toString(it)));
     for (size_t priority = 0; priority <= maxLabelledPriority; ++priority)
         m_grants.push_back(&metrics.counter(
             "fescuegw_agent_grants_total", "Grants of room to entries, by priority", "p" + std::to_string(priority)));
@@ -228,6 +233,7 @@
         m_upstream->hold(now, m_table.nextHold(now));
     }
     m_running.Set(static_cast<double>(m_table.running()));
+    m_ejected.Set(m_table.ejected() ? 1 : 0);
     m_drained.Set(m_table.isDomainDrained() ? 1 : 0);
     m_ready = m_table.accepting(now);
     if (drained(now))
--- a/fescuegw/arbiter/ArbiterServer.h
+++ b/fescuegw/arbiter/ArbiterServer.h
@@ -82,6 +82,9 @@
     prometheus::Counter& m_notStarted;
     prometheus::Gauge& m_running;
     prometheus::Gauge& m_drained;
+    prometheus::Gauge& m_ejected;
+    // By cause.
+    std::vector<prometheus::Counter*> m_ejections;
     // By priority.
     std::vector<prometheus::Counter*> m_grants;
     prometheus::Histogram& m_run;
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -132,7 +132,8 @@
     m_lastListingAt = std::nullopt;
     m_clock.reset();
     m_slowness.reset();
-    m_health = UpstreamHealth();
+    m_health.onRestart();
+    m_replyLoss.reset();
     m_warmUp.reset();
     if (m_claimedBornMs == bornMs)
         m_claimedBornMs = std::nullopt;
@@ -230,6 +231,14 @@
         return;
     }
     added->second.run = nextRunNumber(now, added->second.task, request.key().attempt());
+    if (m_slowness.isProbeDue(now, running() - 1))
+        m_slowness.beginProbe();
+    if (m_health.ejected())
+        Event(Level::Info, "upstream_probed")
+            .with("request", added->second.task.job)
+            .with("despite_ejection", request.despite_ejection() ? "yes" : "no")
+            .with("failed_percent", m_health.failedPercent())
+            .with("jobs", m_health.countedJobs());
     sendStart(now, added->first, added->second);
 }
 
@@ -238,8 +247,10 @@
 {
     if (!accepting(now))
         return isDomainDrained() ? "domain_drained" : "not_accepting";
-    if (!m_health.admits(now, running()))
+    if (!m_health.admits(now, running()) && !run.request.despite_ejection())
         return "ejected";
+    if (m_slowness.probing())
+        return "probed";
     if (m_entryLeases[run.entry] <= now)
         return "entry_lease_over";
     if (now > run.startBy)
@@ -379,6 +390,7 @@
 void RunTable::onStartReply(TimePoint now, uint64_t serial, StartVerdict verdict)
 {
     const auto it = m_runs.find(serial);
+    m_replyLoss.onReply(now, verdict != StartVerdict::Unanswered);
     // Also if its run has ended or is listed: the lease of the order is for all runs.
     if (verdict == StartVerdict::Unanswered)
         fenceOff(it == m_runs.end() ? m_fence : it->second.fence);
@@ -421,7 +433,7 @@
         giveUpStart(now, it, std::string(toString(verdict)));
         break;
     case StartVerdict::Unhealthy:
-        m_health.onFailure(now, run.task.job);
+        recordFailure(now, run);
         giveUpStart(now, it, "unhealthy");
         break;
     case StartVerdict::OtherProcess:
@@ -492,12 +504,12 @@
     const Duration took = now - run.confirmedAt;
     switch (row.how) {
     case RunEnd::Done:
-        m_health.onSuccess();
-        m_slowness.onEnd(fromMs(run.request.estimate_ms()), took);
+        recordSuccess(now, run);
+        m_slowness.onEnd(now, fromMs(run.request.estimate_ms()), took);
         finish(now, it, wire::ATTEMPT_DONE, "");
         break;
     case RunEnd::Failed:
-        m_health.onFailure(now, run.task.job);
+        recordFailure(now, run);
         finish(now, it, wire::ATTEMPT_FAILED, "task_failed");
         break;
     case RunEnd::Stopped:
@@ -508,8 +520,39 @@
     }
 }
 
+void RunTable::recordSuccess(TimePoint now, const Run& run)
+{
+    const bool ejected = m_health.ejected();
+    m_health.onSuccess(now, run.task.job, run.sentAt);
+    if (ejected && !m_health.ejected())
+        Event(Level::Info, "upstream_accepted").with("cause", toString(m_health.cause()));
+}
+
+void RunTable::recordFailure(TimePoint now, const Run& run)
+{
+    const bool ejected = m_health.ejected();
+    m_health.onFailure(now, run.task.job, run.sentAt);
+    if (!ejected)
+        reportEjection();
+}
+
+// Called when the upstream was not ejected before.
+void RunTable::reportEjection()
+{
+    if (!m_health.ejected())
+        return;
+    Event(Level::Warn, "upstream_ejected")
+        .with("cause", toString(m_health.cause()))
+        .with("failed_percent", m_health.failedPercent())
+        .with("jobs", m_health.countedJobs())
+        .with("runs", running());
+    if (m_hooks.ejected)
+        m_hooks.ejected(m_health.cause());
+}
+
 void RunTable::onListing(TimePoint now, TimePoint sent, const Listing& listing)
 {
+    m_replyLoss.onReply(now, true);
     if (listing.bornMs != m_bornMs) {
         // A listing that was asked for before the last one of the known process was handled may be that of an earlier process.
         // Times of birth don't tell, since the upstream's wall clock may have been set back.
@@ -526,8 +569,10 @@
         adoptAnnouncement();
         m_possiblyCrashed.clear();
         m_clock.update(now, listing.clockMs);
-        if (!m_lastListingAt)
+        if (!m_lastListingAt) {
             Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
+            onReturn(now);
+        }
         // The process may have stood still since the answer.
         m_lastListingAt = std::min(now, sent + m_holdWait + maxOrderTime);
     }
@@ -555,8 +600,10 @@
         it->second.crashedProcess = std::nullopt;
         it->second.percent = row.percent;
         if (it->second.state == State::Running)
-            m_slowness.onProgress(fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
+            m_slowness.onProgress(
+                row.task.job, fromMs(it->second.request.estimate_ms()), now - it->second.confirmedAt, row.percent);
     }
+    m_slowness.endProgressRound();
     applyOrphans(now, orphaned, listing);
     if (!m_foreignRunsGoneAt)
         m_foreignRunsGoneAt = UpstreamClock::latestLeaseExpiry(now, m_options.maxUpstreamLease);
@@ -632,8 +679,10 @@
 {
     if (failure == HoldFailure::Fenced && m_holdFence == m_fence)
         m_fence += fenceIncrementMs;
-    if (failure == HoldFailure::Unanswered)
+    if (failure == HoldFailure::Unanswered) {
         fenceOff(m_holdFence);
+        m_replyLoss.onReply(now, false);
+    }
     if (failure == HoldFailure::Refused)
         loseUpstream(now, "refused");
     if (failure == HoldFailure::OtherProcess)
@@ -697,6 +746,9 @@
         .with("slowness_percent", m_slowness.percent())
         .with("listing_age_ms", m_lastListingAt ? toMs(now - *m_lastListingAt) : 0);
     const std::string entry = run.entry;
+    // Starts that were refused beside the probe were never sent.
+    if (state != wire::ATTEMPT_DONE && run.sendCount > 0)
+        m_slowness.abandonProbe(now);
     settle(now, entry, run.request.key());
     m_runs.erase(it);
     m_hooks.report(entry, report);
@@ -772,6 +824,17 @@
 // An order without an answer may be carried out late. Once a later order has been, it is refused by its token.
 void RunTable::fenceOff(uint64_t fence) { m_fence = std::max(m_fence, fence + 1); }
 
+// The first listing of this agent is no return.
+void RunTable::onReturn(TimePoint now)
+{
+    if (!std::exchange(m_hasReached, true))
+        return;
+    const bool ejected = m_health.ejected();
+    m_health.onReturn(now);
+    if (!ejected)
+        reportEjection();
+}
+
 // Starts nothing until the next listing, which tells which process is there.
 void RunTable::loseUpstream(TimePoint now, const std::string& reason)
 {
@@ -863,9 +926,11 @@
 
 void RunTable::issueGrants(TimePoint now)
 {
-    if (!accepting(now) || !m_health.admits(now, running() + m_grants.reservationCount()))
+    const size_t used = running() + m_grants.reservationCount();
+    if (!accepting(now) || !m_health.admits(now, used) || m_slowness.probing())
         return;
-    const size_t maxGrants = m_health.ejected() ? 1 : std::numeric_limits<size_t>::max();
+    const bool probed = m_health.ejected() || m_slowness.isProbeDue(now, used);
+    const size_t maxGrants = probed ? 1 : std::numeric_limits<size_t>::max();
     auto granted = m_grants.grant(now, free(now), maxGrants);
     if (granted.empty() && isUnused())
         granted = m_grants.grant(now, m_announcement->capacity, 1);
@@ -885,9 +950,15 @@
         offer.add_labels(it);
     *offer.mutable_capacity() = wire::toWire(m_announcement->capacity);
     *offer.mutable_free() = wire::toWire(free(now));
-    // An ejected upstream is offered for its probe task only.
-    offer.set_accepting(accepting(now) && m_health.admits(now, running()));
-    offer.set_slowness_percent(m_slowness.percent());
+    // An ejected upstream is offered for its probe task only, and a slow one as if it were fast again.
+    const bool open = accepting(now) && !m_slowness.probing();
+    offer.set_accepting(open && m_health.admits(now, running()));
+    offer.set_ejected_percent(open ? m_health.ejectedPercent() : 0);
+    constexpr uint32_t usualPercent = 100;
+    // Entries would move the probe elsewhere if they knew of the slowness.
+    const bool probed = m_slowness.probing() || m_slowness.isProbeDue(now, running());
+    offer.set_slowness_percent(probed ? usualPercent : m_slowness.percent());
+    offer.set_delay_ms(static_cast<uint32_t>(toMs(m_replyLoss.expectedDelay(now))));
     return offer;
 }
 
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -14,6 +14,7 @@
 
 #include "fescuegw/arbiter/AnnouncementBook.h"
 #include "fescuegw/arbiter/GrantBook.h"
+#include "fescuegw/arbiter/ReplyLoss.h"
 #include "fescuegw/arbiter/Slowness.h"
 #include "fescuegw/arbiter/Upstream.h"
 #include "fescuegw/arbiter/UpstreamClock.h"
@@ -60,6 +61,7 @@
     std::function<void(const GrantBook::Granted&)> grant;
     // For all entries.
     std::function<void(TimePoint now, const wire::AttemptReport&)> broadcast;
+    std::function<void(EjectionCause)> ejected {};
 };
 
 // Arbitrates the capacity of one upstream among all entries. Runs never exceed the announced capacity: resources are reserved
@@ -100,6 +102,7 @@
     wire::UpstreamOffer offer(TimePoint now) const;
     const std::optional<Announcement>& announcement() const { return m_announcement; }
     size_t running() const { return m_runs.size(); }
+    bool ejected() const { return m_health.ejected(); }
     bool accepting(TimePoint now) const;
 
 private:
@@ -190,6 +193,10 @@
     Runs::iterator find(const StepTask&, uint64_t run);
     void confirm(TimePoint now, Run&);
     void applyEnd(TimePoint now, const EndedRow&);
+    void recordSuccess(TimePoint now, const Run&);
+    void recordFailure(TimePoint now, const Run&);
+    void reportEjection();
+    void onReturn(TimePoint now);
     void applyRunning(TimePoint now, TimePoint sent, const Listing&);
     void applyOrphans(TimePoint now, const std::vector<RunId>& listed, const Listing&);
     void finish(TimePoint now, Runs::iterator, wire::AttemptState, const std::string& reason);
@@ -241,6 +248,7 @@
     UpstreamClock m_clock;
     UpstreamHealth m_health;
     Slowness m_slowness;
+    ReplyLoss m_replyLoss;
     GrantBook m_grants;
     Runs m_runs;
     uint64_t m_lastSerial = 0;
@@ -272,6 +280,8 @@
     WarmUp m_warmUp;
     // There has been no listing since a hold failed, or an order met another process.
     bool m_holdFailed = false;
+    // A listing has arrived at least once.
+    bool m_hasReached = false;
     bool m_departed = false;
     bool m_draining = false;
     // The last value of `isDomainDrained` that was logged.
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -73,6 +73,11 @@
     request.avoidedAgents = &job.steps[step].tasks[index].avoidedAgents;
     request.tasksPerAgent = &job.steps[step].tasksPerAgent;
     request.maxRun = left >= estimate ? left : std::max(usefulLeft, acceptedEstimateMultiple * estimate);
+    const Task& task = job.steps[step].tasks[index];
+    request.mayProbe = task.failures + 1 < job.request.route.attempts() && left >= 2 * estimate;
+    for (const auto& it : task.avoidedAgents)
+        if (const auto found = m_offers.agents().find(it); found != m_offers.agents().end())
+            request.failedDomains.insert(found->second.offer.domain());
     return request;
 }
 
@@ -83,6 +88,7 @@
     // Smallest need that could not be placed, by service: tasks that need as much or more are not tried.
     std::map<std::string, int64_t> failed;
     std::map<std::string, std::vector<UsableAgent>> agents;
+    std::map<std::string, EjectedAgents> ejectedAgents;
     for (auto it = m_queue.tasks().begin(); it != m_queue.tasks().end();) {
         const QueuePosition position = it->first;
         const PendingTask task = it->second;
@@ -94,7 +100,15 @@
         if (first)
             usable->second = m_offers.usable(now, task.service);
         Job& job = m_jobs.find(task.task.job)->second;
-        const auto placed = m_placement.place(usable->second, placementRequest(now, job, position.step, position.index));
+        PlacementRequest request = placementRequest(now, job, position.step, position.index);
+        auto placed = m_placement.place(usable->second, request);
+        if (!placed) {
+            const auto [ejected, firstFailure] = ejectedAgents.try_emplace(task.service);
+            if (firstFailure)
+                ejected->second = m_offers.ejected(now, task.service);
+            request.despiteEjection = true;
+            placed = m_placement.place(request.mayProbe ? ejected->second.tolerated : ejected->second.required, request);
+        }
         if (placed)
             send(now, job, position.step, position.index, *placed, 0);
         else
@@ -172,6 +186,7 @@
     start.set_estimate_ms(demand.estimateMs);
     start.set_start_by_us(toMicros(now + view->clockAhead + m_options.startLifetime));
     start.set_grant(grant);
+    start.set_despite_ejection(view->offer.ejected_percent() > 0 && !view->offer.accepting());
 }
 
 // Stops attempts on upstreams that have become slow or make no progress. Each task is started elsewhere once its attempt is
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -97,11 +97,15 @@
         return "too_many_jobs";
     if (m_drainUntil && now + m_admission.objective(job.request) > *m_drainUntil)
         return "stopping";
-    const auto agents = m_offers.usable(now, route.service());
+    auto agents = m_offers.usable(now, route.service());
+    const bool despiteEjection = agents.empty();
+    if (despiteEjection)
+        agents = m_offers.ejected(now, route.service()).required;
     if (agents.empty())
         return "no_upstream";
     for (size_t step = 0; step < job.steps.size(); ++step) {
-        const PlacementRequest request = placementRequest(now, job, step, 0);
+        PlacementRequest request = placementRequest(now, job, step, 0);
+        request.despiteEjection = despiteEjection;
         const bool possible = std::any_of(agents.begin(), agents.end(),
             [&](const auto& it) { return m_placement.expectedRun(*it.first, *it.second, request).has_value(); });
         if (!possible)
--- a/fescuegw/direct/OfferTable.cpp
+++ b/fescuegw/direct/OfferTable.cpp
@@ -72,6 +72,32 @@
     return list;
 }
 
+EjectedAgents OfferTable::ejected(TimePoint now, const std::string& service) const
+{
+    constexpr size_t ejectedDivisor = 3;
+    // An upstream that fails more is no help beside a second attempt elsewhere.
+    constexpr uint32_t maxFailedPercent = 50;
+    size_t known = 0;
+    std::vector<UsableAgent> ejected;
+    for (const auto& it : m_agents) {
+        const AgentView& view = it.second;
+        const bool recent = now - view.lastHeard <= m_options.maxOfferAge;
+        if (!recent || view.offer.service() != service || (!view.offer.accepting() && view.offer.ejected_percent() == 0))
+            continue;
+        ++known;
+        if (view.offer.ejected_percent() > 0)
+            ejected.emplace_back(&it.first, &view);
+    }
+    std::stable_sort(ejected.begin(), ejected.end(), [](const UsableAgent& a, const UsableAgent& b) {
+        return a.second->offer.ejected_percent() < b.second->offer.ejected_percent();
+    });
+    const size_t allowed = std::max<size_t>(known / ejectedDivisor, 1);
+    const auto required = ejected.end() - static_cast<std::ptrdiff_t>(std::min(ejected.size(), allowed));
+    const auto tolerated = std::find_if(
+        required, ejected.end(), [](const UsableAgent& it) { return it.second->offer.ejected_percent() >= maxFailedPercent; });
+    return { { ejected.begin(), required }, { ejected.begin(), tolerated } };
+}
+
 AgentView* OfferTable::find(const AgentId& id)
 {
     const auto it = m_agents.find(id);
--- a/fescuegw/direct/OfferTable.h
+++ b/fescuegw/direct/OfferTable.h
@@ -44,6 +44,16 @@
 
 using UsableAgent = std::pair<const AgentId*, const AgentView*>;
 
+// Agents that are used despite their ejection, the least bad first.
+struct EjectedAgents {
+    // For any task: those beyond a third of the known agents, since the others could not take over the load of more.
+    std::vector<UsableAgent> required;
+    // For tasks that may be started again elsewhere: also those of the third that succeed more often than they fail.
+    std::vector<UsableAgent> tolerated;
+
+    friend bool operator==(const EjectedAgents&, const EjectedAgents&) = default;
+};
+
 struct OfferTableOptions {
     // Agents whose last offer is older than this are not used. Spans several offer intervals.
     Duration maxOfferAge { std::chrono::milliseconds(600) };
@@ -68,6 +78,9 @@
 
     // Returns the agents of `service` that accept tasks and whose last offer is recent.
     std::vector<UsableAgent> usable(TimePoint now, const std::string& service) const;
+
+    // Returns the agents of `service` that are used despite their ejection, after all others.
+    EjectedAgents ejected(TimePoint now, const std::string& service) const;
     bool isUsable(TimePoint now, const AgentView& view) const
     {
         return view.offer.accepting() && now - view.lastHeard <= m_options.maxOfferAge;
--- a/fescuegw/direct/Placement.cpp
+++ b/fescuegw/direct/Placement.cpp
@@ -44,9 +44,12 @@
     const auto shared = request.tasksPerAgent->find(id);
     if (step.spread > 0 && shared != request.tasksPerAgent->end() && shared->second >= step.spread)
         return std::nullopt;
+    if (view.offer.ejected_percent() > 0 && !request.mayProbe && !request.despiteEjection)
+        return std::nullopt;
     const bool remote = !step.dataLabel.empty() && !hasLabel(view.offer, step.dataLabel);
     const Duration run = std::chrono::milliseconds(step.estimateMs) * view.offer.slowness_percent() / 100;
-    return remote ? run * m_options.remotePercent / 100 : run;
+    const Duration delay = std::chrono::milliseconds(view.offer.delay_ms());
+    return delay + (remote ? run * m_options.remotePercent / 100 : run);
 }
 
 std::optional<PlacementResult> Placement::place(const std::vector<UsableAgent>& agents, const PlacementRequest& request) const
@@ -66,7 +69,9 @@
         if (!run || *run > request.maxRun)
             continue;
         const bool avoided = request.avoidedAgents->contains(*id);
-        const Duration cost = *run + crowdingPenaltyFor(view->free, request.step->need);
+        // A second failure costs at least one more run.
+        const bool mayFailAgain = request.failedDomains.contains(view->offer.domain());
+        const Duration cost = *run + crowdingPenaltyFor(view->free, request.step->need) + (mayFailAgain ? *run : Duration());
         const bool sooner = cost / finishTimeResolution < bestCost / finishTimeResolution;
         const bool moreCores
             = cost / finishTimeResolution == bestCost / finishTimeResolution && view->free.coresMilli > bestFreeCores;
--- a/fescuegw/model/LoadModel.cpp
+++ b/fescuegw/model/LoadModel.cpp
@@ -24,6 +24,8 @@
     constexpr int64_t memoryMb = 262144;
     // Time from a crash of an upstream to its restart.
     constexpr Duration downtime = std::chrono::milliseconds(1000);
+    // Run time of a task that fails, relative to that of one that does not.
+    constexpr double failedRunLength = 0.1;
     constexpr Duration holdRetryInterval = std::chrono::milliseconds(30);
 
     Duration scaled(Duration duration, double factor)
@@ -75,7 +77,7 @@
     uint64_t lastEnd = 0;
     double slowness = 1;
     double replyLossRate = 0;
-    bool failing = false;
+    double failureRate = 0;
     // The pending hold (a long poll), or 0.
     uint64_t holdNumber = 0;
     uint64_t lastHold = 0;
@@ -145,6 +147,7 @@
         const bool crowded = static_cast<double>(n) < m_options.crowding * static_cast<double>(m_options.callers);
         m_callers.push_back(crowded ? m_random() % entriesOfDomain * m_options.domains : m_random() % m_entries.size());
     }
+    m_counters.startsOfAgents.assign(m_agents.size(), 0);
     schedule(std::chrono::milliseconds(500), [this] { generateArrival(); });
 }
 
@@ -189,11 +192,12 @@
 
 void LoadModel::setReplyLossRate(size_t agent, double share) { m_agents[agent]->replyLossRate = share; }
 
-void LoadModel::setFailing(size_t agent, bool failing) { m_agents[agent]->failing = failing; }
+void LoadModel::setFailureRate(size_t agent, double share) { m_agents[agent]->failureRate = share; }
 
 void LoadModel::resetCounters()
 {
     m_counters = ModelCounters();
+    m_counters.startsOfAgents.assign(m_agents.size(), 0);
     m_firstCountedJob = m_lastJob + 1;
 }
 
@@ -360,15 +364,17 @@
     run.number = order.run;
     run.need = agent.needs[order.task];
     run.started = m_now;
-    run.ends = m_now + scaled(length, agent.failing ? 0.1 : agent.slowness);
+    const bool fails = agent.failureRate > 0 && uniform() < agent.failureRate;
+    run.ends = m_now + scaled(length, fails ? failedRunLength : agent.slowness);
     ++m_counters.starts;
+    ++m_counters.startsOfAgents[agent.index];
     m_counters.concurrentStarts += ++m_runningCounts[order.task] > 1 ? 1 : 0;
     agent.runs.push_back(run);
     int64_t taken = 0;
     for (const auto& it : agent.runs)
         taken += it.need;
     m_counters.capacityViolations += taken > coresMilli ? 1 : 0;
-    const RunEnd how = agent.failing ? RunEnd::Failed : RunEnd::Done;
+    const RunEnd how = fails ? RunEnd::Failed : RunEnd::Done;
     schedule(run.ends - m_now, [this, &agent, task = order.task, n = order.run, how, process = agent.bornMs] {
         if (agent.bornMs == process)
             endRun(agent, task, n, how);
--- a/fescuegw/model/LoadModel.h
+++ b/fescuegw/model/LoadModel.h
@@ -68,6 +68,8 @@
     uint64_t agentMessages = 0;
     uint64_t starts = 0;
     uint64_t crashes = 0;
+    // Starts by upstream.
+    std::vector<uint64_t> startsOfAgents;
     // Starts that exceeded an upstream's capacity, and starts of tasks that were already running. Both must stay 0.
     uint64_t capacityViolations = 0;
     uint64_t concurrentStarts = 0;
@@ -91,12 +93,13 @@
     void run(Duration);
 
     // Take effect at once: the factor on the arrival rate, the weight of a class, the factor on an upstream's run times, the
-    // fraction of an upstream's replies that is lost, and whether all tasks of an upstream fail.
+    // fraction of an upstream's replies that is lost, and the share of an upstream's tasks that fail.
     void setLoadFactor(double factor) { m_loadFactor = factor; }
     void setWeight(const std::string& jobClass, double weight);
     void setSlowness(size_t agent, double factor);
     void setReplyLossRate(size_t agent, double share);
-    void setFailing(size_t agent, bool failing);
+    void setFailing(size_t agent, bool failing) { setFailureRate(agent, failing ? 1 : 0); }
+    void setFailureRate(size_t agent, double share);
     // Whether the classes marked as deadly crash upstreams.
     void setDeadly(bool deadly) { m_deadly = deadly; }
 
