A probe without progress is offered as slow; label of grants built without a warning of Release builds

Cause: a probe on an upstream that makes no progress stayed there until its caller gave up, since the offer showed it as fast. GCC 12 takes the sum of a literal and a string at -O3 for an overlapping copy.

--- a/fescuegw/arbiter/ArbiterServer.cpp
+++ b/fescuegw/arbiter/ArbiterServer.cpp
@@ -75,8 +75,8 @@
         m_ejections.push_back(
             &metrics.counter("fescuegw_agent_ejections_total", "Ejections of the upstream, by cause", toString(it)));
     for (size_t priority = 0; priority <= maxLabelledPriority; ++priority)
-        m_grants.push_back(&metrics.counter(
-            "fescuegw_agent_grants_total", "Grants of room to entries, by priority", "p" + std::to_string(priority)));
+        m_grants.push_back(&metrics.counter("fescuegw_agent_grants_total", "Grants of room to entries, by priority",
+            std::string("p").append(std::to_string(priority))));
 }
 
 Result<void> ArbiterServer::start()
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -954,10 +954,8 @@
     const bool open = accepting(now) && !m_slowness.probing();
     offer.set_accepting(open && m_health.admits(now, running()));
     offer.set_ejected_percent(open ? m_health.ejectedPercent() : 0);
-    constexpr uint32_t usualPercent = 100;
-    // Entries would move the probe elsewhere if they knew of the slowness.
     const bool probed = m_slowness.probing() || m_slowness.isProbeDue(now, running());
-    offer.set_slowness_percent(probed ? usualPercent : m_slowness.percent());
+    offer.set_slowness_percent(probed ? m_slowness.probePercent() : m_slowness.percent());
     offer.set_delay_ms(static_cast<uint32_t>(toMs(m_replyLoss.expectedDelay(now))));
     return offer;
 }
--- a/fescuegw/arbiter/Slowness.h
+++ b/fescuegw/arbiter/Slowness.h
@@ -47,6 +47,12 @@
             m_lastEndAt = now;
     }
     bool probing() const { return m_probing; }
+    // Returns the ratio that the probe shows so far, in percent, from 100: what was known before would have it moved elsewhere.
+    uint32_t probePercent() const
+    {
+        const double ratio = (m_runningTime + weight(runningPriorWork)) / (m_runningWork + weight(runningPriorWork));
+        return ratio > alarmRatio ? static_cast<uint32_t>(std::min(100 * ratio, 10000.0)) : 100;
+    }
 
     // Starts a new pass over the current runs.
     void beginProgressRound()
--- a/fescuegw/arbiter/UpstreamHealthTest.cpp
+++ b/fescuegw/arbiter/UpstreamHealthTest.cpp
@@ -193,6 +193,22 @@
     cr_assert_lt(slowness.percent(), 120);
 }
 
+// Guards against a probe that stays on an upstream which makes no progress, until its caller gives up.
+Test(Slowness, aProbeWithoutProgressShows)
+{
+    Slowness slowness;
+    for (int n = 0; n < 20; ++n)
+        slowness.onEnd(start, ms(200), ms(1200));
+    slowness.beginProbe();
+    slowness.beginProgressRound();
+    cr_assert_eq(slowness.probePercent(), 100);
+    slowness.onProgress("probe", ms(200), ms(100), 50);
+    cr_assert_eq(slowness.probePercent(), 100);
+    slowness.beginProgressRound();
+    slowness.onProgress("probe", ms(200), ms(300), 0);
+    cr_assert_geq(slowness.probePercent(), 200);
+}
+
 // Guards against an estimate of 0, which callers may send.
 Test(Slowness, anEstimateOfZeroIsHarmless)
 {
