--- a/fescuegw/model/RunBoundsTest.cpp
+++ b/fescuegw/model/RunBoundsTest.cpp
@@ -1520,7 +1520,8 @@
     faults.lateAnnouncements = true;
     faults.foreignAnnouncements = true;
     faults.wallClockSteps = true;
-    const Findings sum = runSeeds("all-announcements", 40, faults);
+    // With 40 seeds, fewer than 100 upstreams seemed to be older on machines with other rounding.
+    const Findings sum = runSeeds("all-announcements", 60, faults);
     cr_assert_gt(sum.foreignAnnouncements, 1000U);
     cr_assert_gt(sum.earlierBirths, 100U);
 }
