Load shedding: a more urgent priority does not inherit the share of another

Cause: the share of the most urgent priority stayed with its place. When priority 1 alone was overloaded and a job of priority 0 came, priority 0 was refused with the share of priority 1, and all jobs of priority 1 were admitted. Change: with a more urgent priority, the share of the former one becomes that of the less urgent jobs, and the new one starts at 1. Measured: the new test failed before (priority 0 refused at once); load_shedder passes with it.

--- a/fescuegw/direct/LoadShedder.cpp
+++ b/fescuegw/direct/LoadShedder.cpp
@@ -83,6 +83,13 @@
 bool LoadShedder::isMostUrgent(TimePoint now, uint32_t priority)
 {
     if (!m_hasSeenUrgent || priority <= m_urgentPriority || now - m_urgentSeen > m_options.priorityMemory) {
+        // What was the most urgent priority is refused like the less urgent ones from now on, and its overload says nothing about
+        // the new one.
+        if (m_hasSeenUrgent && priority < m_urgentPriority) {
+            m_share = std::min(m_share, m_urgentShare);
+            m_urgentShare = 1;
+            m_urgentWaits = {};
+        }
         m_hasSeenUrgent = true;
         m_urgentPriority = priority;
         m_urgentSeen = now;
--- a/fescuegw/direct/LoadShedderTest.cpp
+++ b/fescuegw/direct/LoadShedderTest.cpp
@@ -197,3 +197,24 @@
         cr_assert_eq(queue.share(n), 1.0);
     cr_assert_eq(queue.shedder.admittedPercent(false), 100.0);
 }
+
+// A more urgent priority that comes during an overload of another one must not inherit the share of that one: urgent jobs would
+// be refused while all of the less urgent ones are admitted.
+Test(load_shedder, aMoreUrgentPriorityDoesNotInheritTheShareOfAnother)
+{
+    Queue queue;
+    for (int n = 0; n < 40; ++n) {
+        queue.now += ms(50);
+        for (int job = 0; job < 10; ++job)
+            (void)queue.shedder.admits(queue.now, { 1, 1 });
+        queue.shedder.onWait(1, ms(400), queue.slack);
+        queue.shedder.update(queue.now);
+    }
+    cr_assert_lt(queue.shedder.admittedPercent(true), 50);
+    for (int n = 0; n < 100; ++n)
+        cr_assert(queue.shedder.admits(queue.now, { 0, 1 }));
+    int admitted = 0;
+    for (int n = 0; n < 1000; ++n)
+        admitted += queue.shedder.admits(queue.now, { 1, 1 }) ? 1 : 0;
+    cr_assert_lt(admitted, 500);
+}
