HTTP server: a response during the destructor resumes its connection before the daemon stops

Cause: respond removed the exchange from unansweredExchanges, released the lock and then resumed the connection. If the thread was delayed between the two, closeUnanswered did not see the exchange: the daemon was stopped with a suspended connection, which ends the process, or was freed before MHD_resume_connection used it. Change: both happen under unansweredMutex, as the suspension already does. No test reproduces the delay.

--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -488,10 +488,10 @@
             return;
         exchange.answered = true;
         exchange.response = std::move(response);
-        {
-            const std::lock_guard<std::mutex> unansweredLock(unansweredMutex);
-            unansweredExchanges.erase(number);
-        }
+        // Removed and resumed in one step: `closeUnanswered` takes an exchange that it does not find for resumed, and the daemon
+        // is stopped after it.
+        const std::lock_guard<std::mutex> unansweredLock(unansweredMutex);
+        unansweredExchanges.erase(number);
         MHD_resume_connection(exchange.connection);
     }
 
@@ -516,8 +516,8 @@
     }
 
     // libmicrohttpd does not read from suspended connections and so does not detect a caller that disconnects. No descriptor can
-    // be closed and reused during the check, since an exchange is removed from `unansweredExchanges` before its connection is
-    // resumed.
+    // be closed and reused during the check, since an exchange is removed from `unansweredExchanges` together with the
+    // resumption of its connection, under the lock.
     std::vector<uint64_t> goneCallers() const
     {
         const std::lock_guard<std::mutex> lock(unansweredMutex);
