Load shedding: each service has its own share

Cause: one LoadShedder served all services of an entry, so that a shortage of one service refused jobs of others for which nothing waited. Change: one LoadShedder for each service that has usable upstreams. The metrics and the event follow the lowest share. Measured: the new test failed before (job of the idle service refused with overload); direct_test 57 of 57.

--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -355,8 +355,8 @@
     set(m_counters->lostAttempts, m_jobs.counters().lostAttempts);
     set(m_counters->crashes, m_jobs.counters().crashesUnderTasks);
     set(m_counters->endedByCrashes, m_jobs.counters().endedByCrashes);
-    m_counters->admittedPercent.Set(m_jobs.shedder().admittedPercent(false));
-    m_counters->urgentAdmittedPercent.Set(m_jobs.shedder().admittedPercent(true));
+    m_counters->admittedPercent.Set(m_jobs.admittedPercent(false));
+    m_counters->urgentAdmittedPercent.Set(m_jobs.admittedPercent(true));
     if (drained(now))
         m_hub->stop();
 }
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -150,7 +150,9 @@
     AgentView* view = m_offers.find(placed.agent);
     Task& task = job.steps[step].tasks[index];
     const StepDemand& demand = job.request.job.steps[step];
-    m_shedder.onWait(job.request.route.priority(), now - task.waitingSince.value_or(now), m_admission.maxWait(job.request));
+    if (const auto shedder = m_shedders.find(job.request.route.service()); shedder != m_shedders.end())
+        shedder->second.onWait(
+            job.request.route.priority(), now - task.waitingSince.value_or(now), m_admission.maxWait(job.request));
     if (task.queued)
         m_queue.remove(queuePosition(job, step, index));
     task.queued = false;
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -21,7 +21,6 @@
     : m_options(options)
     , m_hooks(std::move(hooks))
     , m_admission(options.admission)
-    , m_shedder(options.shedding, m_hooks.random)
     , m_offers(options.offers)
     , m_offerPace(options.offerPace)
     , m_placement(options.placement, m_hooks.random)
@@ -80,7 +79,7 @@
     // A caller may submit a job again before the attempts of its previous submission are known to have ended.
     const std::string reason = busy ? "earlier_attempts_ending" : refusalReason(now, job);
     if (!reason.empty()) {
-        answer(now, job, refusal(reason));
+        answer(now, job, refusal(job, reason));
         return;
     }
     ++m_counters.admitted;
@@ -110,22 +109,36 @@
     const Duration waited = m_queue.longestWait(now, route.service(), route.priority());
     if (!m_admission.admits(job.request, waited))
         return "line_of_" + std::to_string(toMs(waited)) + "_ms";
-    return m_shedder.admits(now, Admission::cost(job.request)) ? "" : "overload";
+    LoadShedder& shedder = m_shedders.try_emplace(route.service(), m_options.shedding, m_hooks.random).first->second;
+    return shedder.admits(now, Admission::cost(job.request)) ? "" : "overload";
 }
 
-JobOutcome JobTable::refusal(const std::string& reason) const
+JobOutcome JobTable::refusal(const Job& job, const std::string& reason) const
 {
-    return { JobOutcome::Kind::NotRun, reason, std::max(m_admission.retryAfter(), m_shedder.retryAfterS()) };
+    const auto shedder = m_shedders.find(job.request.route.service());
+    const uint32_t shedding = shedder == m_shedders.end() ? 0 : shedder->second.retryAfterS();
+    return { JobOutcome::Kind::NotRun, reason, std::max(m_admission.retryAfter(), shedding) };
+}
+
+double JobTable::admittedPercent(bool mostUrgent) const
+{
+    double percent = fullPercent;
+    for (const auto& it : m_shedders)
+        percent = std::min(percent, it.second.admittedPercent(mostUrgent));
+    return percent;
 }
 
 void JobTable::updateShedding(TimePoint now)
 {
-    if (!m_shedder.isDue(now))
+    if (now < m_sheddingDue)
         return;
+    m_sheddingDue = now + m_options.shedding.period;
     for (const auto& it : m_queue.tasks())
-        m_shedder.onWait(it.first.priority, now - it.second.since, it.second.slack);
-    m_shedder.update(now);
-    const bool shedding = m_shedder.admittedPercent(false) < fullPercent || m_shedder.admittedPercent(true) < fullPercent;
+        if (const auto shedder = m_shedders.find(it.second.service); shedder != m_shedders.end())
+            shedder->second.onWait(it.first.priority, now - it.second.since, it.second.slack);
+    for (auto& it : m_shedders)
+        it.second.update(now);
+    const bool shedding = admittedPercent(false) < fullPercent || admittedPercent(true) < fullPercent;
     if (shedding == m_shedding)
         return;
     m_shedding = shedding;
@@ -151,7 +164,7 @@
         return;
     }
     if (job.outstanding == 0) {
-        answer(now, job, refusal(reason));
+        answer(now, job, refusal(job, reason));
         return;
     }
     if (job.refusing)
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -123,7 +123,8 @@
     const OfferTable& offers() const { return m_offers; }
     size_t waiting() const { return m_queue.size(); }
     const JobCounters& counters() const { return m_counters; }
-    const LoadShedder& shedder() const { return m_shedder; }
+    // Returns the share of jobs that load shedding admits, in percent: of the service that is short of most capacity.
+    double admittedPercent(bool mostUrgent) const;
     Duration objective(const JobRequest& request) const { return m_admission.objective(request); }
 
 private:
@@ -193,7 +194,7 @@
     void abandon(TimePoint now, const std::set<uint64_t>& exchanges);
     std::string refusalReason(TimePoint now, const Job&);
     void updateShedding(TimePoint now);
-    JobOutcome refusal(const std::string& reason) const;
+    JobOutcome refusal(const Job&, const std::string& reason) const;
     bool isReady(const Job&, size_t step) const;
     void enqueueReady(TimePoint now, Job&);
     void enqueue(TimePoint now, Job&, size_t step, size_t index);
@@ -232,7 +233,10 @@
     JobTableOptions m_options;
     JobTableHooks m_hooks;
     Admission m_admission;
-    LoadShedder m_shedder;
+    // By service, since each has its own upstreams: a shortage of one must not cost jobs of the others. Only services with usable
+    // upstreams are added.
+    std::map<std::string, LoadShedder> m_shedders;
+    TimePoint m_sheddingDue;
     // Whether the last update left a share of the jobs to be refused.
     bool m_shedding = false;
     OfferTable m_offers;
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -28,7 +28,7 @@
                  offerInterval[agent] = message.offer_interval_ms();
                  acked[agent] = message.acked_reports();
              },
-                [](uint64_t) { return 0; }, {}, [this] { return goneCallers; } })
+                [this](uint64_t bound) { return drawsLargest ? bound - 1 : 0; }, {}, [this] { return goneCallers; } })
     {
     }
 
@@ -41,7 +41,7 @@
         it.set_clock_us(toMicros(now));
         it.set_seen_sequence(1000);
         it.set_first_report(1);
-        it.mutable_offer()->set_service("s");
+        it.mutable_offer()->set_service(service);
         it.mutable_offer()->set_accepting(true);
         it.mutable_offer()->set_slowness_percent(slowness.contains(agent) ? slowness.at(agent) : 100);
         it.mutable_offer()->mutable_capacity()->set_cores_milli(64000);
@@ -82,7 +82,7 @@
     {
         JobRequest request;
         request.id = id;
-        request.route.set_service("s");
+        request.route.set_service(service);
         request.route.set_priority(priority);
         request.route.set_attempts(2);
         request.route.set_stretch_percent(160);
@@ -109,6 +109,10 @@
     JobOutcome::Kind kind(const std::string& id) const { return outcomes.at(id).kind; }
 
     TimePoint now { std::chrono::hours(1) };
+    // Of agents and jobs.
+    std::string service = "s";
+    // Random numbers are the largest possible ones instead of 0.
+    bool drawsLargest = false;
     uint64_t exchange = 0;
     size_t messages = 0;
     std::vector<std::pair<AgentId, wire::StartTask>> starts;
@@ -764,3 +768,29 @@
     cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
     cr_assert_eq(entry.stops.size(), 1);
 }
+
+// One service is short of capacity. Jobs of another one, for which nothing waits, must not be refused with it.
+Test(JobTable, aShortageOfOneServiceCostsNoJobsOfAnother)
+{
+    Entry entry;
+    const auto offerBoth = [&] {
+        entry.service = "idle";
+        entry.offer(a2, 64000);
+        entry.service = "s";
+        entry.offer(a1, 0);
+    };
+    offerBoth();
+    for (int n = 0; n < 40; ++n) {
+        entry.submit("s" + std::to_string(n), 1);
+        entry.advance(20);
+        offerBoth();
+    }
+    entry.drawsLargest = true;
+    entry.submit("refused", 1);
+    cr_assert(entry.kind("refused") == JobOutcome::Kind::NotRun);
+    cr_assert_lt(entry.table.admittedPercent(true), 100);
+    entry.service = "idle";
+    entry.submit("i", 1);
+    cr_assert_not(entry.answered("i"));
+    cr_assert_eq(entry.starts.size(), 1);
+}
