GrantBook: levels of one priority count as one, with a bounded number of tasks

Cause: an entry with several levels of one priority in its message got a turn for each of them, before other entries. A level with a huge number of tasks without a need got that many grants, each with a reservation.

Change: levels of one priority are merged, with at most 1,024 tasks. The test of a silent entry checks the lifetime of grants; it checked that of demand only.

--- a/fescuegw/arbiter/GrantBook.cpp
+++ b/fescuegw/arbiter/GrantBook.cpp
@@ -6,19 +6,36 @@
 
 namespace fescuegw::arbiter {
 
+namespace {
+
+    // A task without a need always fits, so its number bounds the grants. Upstreams run some tens of tasks at a time.
+    constexpr uint32_t maxTasksPerLevel = 1024;
+
+} // namespace
+
 void GrantBook::onDemand(TimePoint now, const std::string& entry, const wire::Demand& demand)
 {
-    EntryDemand entryDemand { {}, now };
-    for (const auto& it : wire::levelsOf(demand))
-        if (it.tasks() > 0)
-            entryDemand.levels.push_back({ it.priority(), it.tasks(), now - std::chrono::milliseconds(it.waited_ms()),
-                wire::toResources(it.need()), wire::toResources(it.largest_need()), 0 });
-    std::stable_sort(entryDemand.levels.begin(), entryDemand.levels.end(),
-        [](const Level& a, const Level& b) { return a.priority < b.priority; });
-    if (entryDemand.levels.empty())
+    // By priority. A message may have its levels in any order, and several of one priority.
+    std::map<uint32_t, Level> levels;
+    for (const auto& it : wire::levelsOf(demand)) {
+        if (it.tasks() == 0)
+            continue;
+        const TimePoint waitingSince = now - std::chrono::milliseconds(it.waited_ms());
+        const auto [added, isNew]
+            = levels.try_emplace(it.priority(), Level { it.priority(), 0, waitingSince, wire::toResources(it.need()), {}, 0 });
+        Level& level = added->second;
+        level.tasks += std::min(it.tasks(), maxTasksPerLevel - level.tasks);
+        level.waitingSince = std::min(level.waitingSince, waitingSince);
+        level.largestNeed = componentMax(level.largestNeed, wire::toResources(it.largest_need()));
+    }
+    if (levels.empty()) {
         m_demands.erase(entry);
-    else
-        m_demands[entry] = std::move(entryDemand);
+        return;
+    }
+    EntryDemand& entryDemand = m_demands[entry];
+    entryDemand = { {}, now };
+    for (auto& it : levels)
+        entryDemand.levels.push_back(it.second);
 }
 
 // Within a priority, the entry that has been granted the smallest part of its demand is next, so that one with many tasks does
--- a/fescuegw/arbiter/GrantBookTest.cpp
+++ b/fescuegw/arbiter/GrantBookTest.cpp
@@ -93,6 +93,34 @@
     cr_assert_eq(entriesOf(book.grant(now, roomFor(5), unlimited)), "baa");
 }
 
+// Guards against an entry that gets several turns within a priority because its message has several levels of it.
+Test(GrantBook, levelsOfOnePriorityCountAsOne)
+{
+    GrantBook book;
+    book.onDemand(now, "a", demandOf({ { 1, 1, 50 }, { 1, 1, 100 }, { 1, 1, 20, 2 * taskCores }, { 1, 1, 10 } }));
+    book.onDemand(now, "b", demandOf({ { 1, 4, 60 } }));
+    // A grant of either entry is for the largest need, that of entry a for two tasks of b.
+    cr_assert_eq(entriesOf(book.grant(now, roomFor(6), unlimited)), "abab");
+}
+
+// Guards against an agent that issues grants without end for a malformed message, since a task without a need always fits.
+Test(GrantBook, tasksOfALevelAreBounded)
+{
+    GrantBook book;
+    book.onDemand(now, "a", demandOf({ { 0, 1000000, 10, 0 } }));
+    cr_assert_leq(book.grant(now, roomFor(2), unlimited * unlimited * unlimited).size(), 1024);
+}
+
+// Guards against products of the numbers of tasks that overflow, and against an entry without grants beside one that asks for a
+// huge number.
+Test(GrantBook, aHugeNumberOfTasksLeavesGrantsToOthers)
+{
+    GrantBook book;
+    book.onDemand(now, "a", demandOf({ { 0, UINT32_MAX, UINT32_MAX } }));
+    book.onDemand(now, "b", demandOf({ { 0, 2, 10 } }));
+    cr_assert_eq(entriesOf(book.grant(now, roomFor(3), unlimited)), "aba");
+}
+
 // Guards against capacity that stays reserved for an entry whose messages no longer arrive.
 Test(GrantBook, demandAndGrantsOfASilentEntryExpire)
 {
@@ -101,10 +129,12 @@
     book.onDemand(now, "a", demandOf({ { 0, 8, 10 } }));
     cr_assert_eq(book.grant(now, roomFor(2), unlimited).size(), 2);
     cr_assert_eq(book.reservationCount(), 2);
+    book.expire(now + options.grantLifetime);
+    cr_assert_eq(book.reservationCount(), 0);
     const TimePoint later = now + options.demandLifetime + std::chrono::milliseconds(1);
+    cr_assert(book.grant(later, roomFor(2), unlimited).empty());
     book.expire(later);
     cr_assert_eq(book.reservationCount(), 0);
-    cr_assert(book.grant(later, roomFor(2), unlimited).empty());
 }
 
 // Guards against a message with countless levels, and against levels in any order.
