Demand: one conversion of the largest need for each level

Cause: a nested message was written for each waiting task, where the code before levels wrote one for a service. The test of a division by the number of agents did not reach the division.

Change: the largest need is written once for a level. The test asks for the demand of a notified agent after all agents have stopped accepting tasks.

--- a/fescuegw/direct/DemandNotifier.h
+++ b/fescuegw/direct/DemandNotifier.h
@@ -29,8 +29,8 @@
 
 // Limits the cost of demand messages when the load exceeds the capacity of many upstreams: if every entry notified every agent,
 // these messages would use up the processors of entries and agents when both are busiest. A few agents are notified in turn,
-// each of a share of the demand. The tasks of
-// each priority are shared out by themselves, so that an agent knows how many urgent ones wait. Not thread-safe.
+// each of a share of the demand. The tasks of each priority are shared out by themselves, so that an agent knows how many urgent
+// ones wait. Not thread-safe.
 class DemandNotifier {
 public:
     explicit DemandNotifier(DemandNotifierOptions options = {})
--- a/fescuegw/direct/DemandTest.cpp
+++ b/fescuegw/direct/DemandTest.cpp
@@ -117,12 +117,19 @@
     cr_assert_eq(askedFor(tasks.queue.demand(now, service), 50, 0, others), options.minAgents);
 }
 
-// Guards against a division by the number of agents.
+// Guards against a division by the number of agents, in a message to one that was notified before all stopped accepting tasks.
 Test(Demand, withoutAgentsNobodyIsTold)
 {
     Queue tasks;
     tasks.add(0, 1);
-    OfferTable offers;
+    const wire::Demand waiting = tasks.queue.demand(now, service);
+    OfferTable offers = offersOf(1);
     DemandNotifier notifier;
-    cr_assert(notifier.update(now, offers, service, tasks.queue.demand(now, service)).empty());
+    const auto notified = notifier.update(now, offers, service, waiting);
+    cr_assert_eq(notified.size(), 1);
+    AgentView& view = *offers.find(notified.front());
+    cr_assert_eq(notifier.demandFor(now, view).tasks(), 1);
+    view.offer.set_accepting(false);
+    cr_assert(notifier.update(now, offers, service, waiting).empty());
+    cr_assert_eq(notifier.demandFor(now, view).tasks(), 0);
 }
--- a/fescuegw/direct/PendingTaskQueue.cpp
+++ b/fescuegw/direct/PendingTaskQueue.cpp
@@ -10,23 +10,33 @@
 {
     wire::Demand demand;
     wire::DemandLevel* level = nullptr;
+    uint32_t tasks = 0;
     Resources largest;
+    // Called once for a level: a queue may have thousands of tasks, and nested messages are allocated.
+    const auto finishLevel = [&] {
+        if (level == nullptr)
+            return;
+        level->set_tasks(tasks);
+        *level->mutable_largest_need() = wire::toWire(largest);
+    };
     for (const auto& it : m_tasks) {
         const PendingTask& task = it.second;
         if (task.service != service)
             continue;
         if (level == nullptr || (level->priority() != it.first.priority && demand.levels_size() < wire::maxDemandLevels)) {
+            finishLevel();
             level = demand.add_levels();
             level->set_priority(it.first.priority);
+            *level->mutable_need() = wire::toWire(task.need);
             level->set_waited_ms(
                 static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - task.since).count()));
-            *level->mutable_need() = wire::toWire(task.need);
+            tasks = 0;
             largest = {};
         }
+        ++tasks;
         largest = componentMax(largest, task.need);
-        level->set_tasks(level->tasks() + 1);
-        *level->mutable_largest_need() = wire::toWire(largest);
     }
+    finishLevel();
     wire::summarizeLevels(demand);
     return demand;
 }
