Sharing: test of one entry with urgent jobs beside one with many others, known to fail

The tests of even entries also held if no entry was served.

Tests of even entries check that each entry has jobs and that urgent jobs are in time.

--- a/fescuegw/model/SharingTest.cpp
+++ b/fescuegw/model/SharingTest.cpp
@@ -78,11 +78,14 @@
     double least = 1;
     double most = 0;
     for (size_t n = 0; n < entryCount; ++n) {
+        cr_assert_gt(sumOf(model, "", "@" + std::to_string(n)).submitted, 0);
         least = std::min(least, shareOfEntry(model, n));
         most = std::max(most, shareOfEntry(model, n));
     }
     std::printf("entries in_time %.3f to %.3f\n", least, most);
     cr_assert_leq(most - least, maxDifference);
+    // Entries that all serve nothing are even, too. The need of the urgent jobs, a third, fits into 0.8 of the capacity.
+    cr_assert_geq(shareInTime(sumOf(model, "check", "")), urgentTarget);
 }
 
 void initialiseLogging() { logging::initialise("model", "error", ""); }
@@ -149,3 +152,24 @@
         cr_assert_geq(urgent, urgentTarget);
     }
 }
+
+// Pattern: one entry has urgent jobs only, which need a quarter of the capacity; another has many times as many less urgent tasks
+// waiting, which alone exceed the capacity.
+Test(Sharing, urgentJobsOfOneEntryAreInTimeBesideManyLessUrgentOnesOfAnother)
+{
+    for (const uint64_t seed : { 101, 102, 103 }) {
+        std::vector<JobClass> classes;
+        addMix(classes, 0, 1);
+        addMix(classes, 1, 2);
+        // Leaves the urgent kind of entry 0 and the others of entry 1.
+        std::erase_if(classes, [](const auto& it) { return it.name.starts_with("check") != it.name.ends_with("@0"); });
+        LoadModel model(clusterOptions(classes, 1.25, seed));
+        model.run(std::chrono::seconds(2));
+        model.resetCounters();
+        model.run(std::chrono::seconds(5));
+        checkInvariants(model);
+        const double urgent = shareInTime(sumOf(model, "check", ""));
+        std::printf("urgent in_time %.3f others %.3f\n", urgent, shareOfEntry(model, 1));
+        cr_assert_geq(urgent, urgentTarget);
+    }
+}
