--- a/fescuegw/scenario/Host.cpp
+++ b/fescuegw/scenario/Host.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -127,6 +128,21 @@
     return usage;
 }
 
+size_t Host::peakMemoryKib(const std::string& name) const
+{
+    const std::string folder = "/proc/" + std::to_string(processNumber(name));
+    // Between fork() and exec, the memory is that of the parent process.
+    std::error_code error;
+    if (std::filesystem::read_symlink(folder + "/exe", error) == std::filesystem::read_symlink("/proc/self/exe", error))
+        return 0;
+    const std::string key = "VmHWM:";
+    std::ifstream status(folder + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(key))
+            return std::stoul(line.substr(key.size()));
+    return 0;
+}
+
 std::pair<int, std::string> Host::run(const std::string& program, const std::vector<std::string>& arguments)
 {
     const std::string output = m_folder + "/run.out";
--- a/fescuegw/scenario/Host.h
+++ b/fescuegw/scenario/Host.h
@@ -39,6 +39,9 @@
     // Returns the CPU time in seconds and the resident memory in KiB of each running process, by name.
     std::map<std::string, std::pair<double, uint64_t>> usage();
 
+    // Returns the peak of the process's resident memory in KiB; 0 if it has ended or is not executing its program yet.
+    size_t peakMemoryKib(const std::string& name) const;
+
     // Runs a program to completion and returns its exit code (or negated signal number) and its output.
     std::pair<int, std::string> run(const std::string& program, const std::vector<std::string>& arguments);
 
