Soak: uneven callers and untrusted callers

The soak had no series in which most callers use one entry, and none with bodies that stop short during faults. The promises and the plans of other series are unchanged.

--- a/fescuegw/soak/FaultPlan.cpp
+++ b/fescuegw/soak/FaultPlan.cpp
@@ -52,6 +52,7 @@
     constexpr uint32_t maxDrainGapMs = 8000;
     // Keeps the draws of drains apart from those of faults.
     constexpr uint32_t drainsSalt = 0x64726169;
+    constexpr uint32_t entryChangesSalt = 0x656e7472;
     // Percentage of series whose faults hit all targets of a type at once.
     constexpr uint32_t allTargetsPercent = 12;
 
@@ -246,6 +247,20 @@
     }
 }
 
+std::vector<EntryChange> drawEntryChanges(uint32_t seed, const FleetSize& size, const PlanOptions& options, Duration minGap)
+{
+    FaultGenerator generator(seed ^ entryChangesSalt, size);
+    const auto gapMs = static_cast<uint32_t>(toMs(minGap));
+    std::vector<EntryChange> changes;
+    EntryChange next { options.calm, generator.below(size.entries) };
+    while (next.at < options.length && (changes.empty() || size.entries > 1)) {
+        changes.push_back(next);
+        next.at += generator.between(gapMs, 2 * gapMs);
+        next.entry = size.entries > 1 ? (next.entry + 1 + generator.below(size.entries - 1)) % size.entries : next.entry;
+    }
+    return changes;
+}
+
 std::vector<Fault> drawPlan(uint32_t seed, const FleetSize& size, const PlanOptions& options)
 {
     FaultGenerator generator(seed, size);
--- a/fescuegw/soak/FaultPlan.h
+++ b/fescuegw/soak/FaultPlan.h
@@ -85,6 +85,14 @@
     friend auto operator<=>(const DomainDrain&, const DomainDrain&) = default;
 };
 
+// From `at` on, callers of a series use `entry`.
+struct EntryChange {
+    Duration at {};
+    uint32_t entry = 0;
+
+    friend auto operator<=>(const EntryChange&, const EntryChange&) = default;
+};
+
 struct FleetSize {
     uint32_t entries = 2;
     uint32_t agents = 4;
@@ -128,4 +136,9 @@
 // Returns the drains that go with a plan of the same arguments, sorted by time, one after the other. None without `drains`.
 std::vector<DomainDrain> drawDrains(uint32_t seed, const FleetSize&, const PlanOptions&);
 
+// Returns the entries that uneven or untrusted callers use one after the other, sorted by time. The first change is at the start
+// of the faults, and each later one is to another entry, `minGap` to twice `minGap` after the one before. Independent of the
+// plan.
+std::vector<EntryChange> drawEntryChanges(uint32_t seed, const FleetSize&, const PlanOptions&, Duration minGap);
+
 } // namespace fescuegw::soak
--- a/fescuegw/soak/FaultPlanTest.cpp
+++ b/fescuegw/soak/FaultPlanTest.cpp
@@ -224,4 +224,31 @@
     cr_assert(drawDrains(1, size, {}).empty());
 }
 
+// Callers that stay at one entry, or that avoid one in all plans, would not show what a change of the entry does.
+Test(faultPlan, entryChangesReachEveryEntryAndAlwaysAnotherOne)
+{
+    const PlanOptions options;
+    FleetSize size;
+    size.entries = 3;
+    constexpr Duration gap = std::chrono::milliseconds(1000);
+    std::vector<size_t> perEntry(size.entries);
+    for (uint32_t seed = 1; seed <= 100; ++seed) {
+        const auto changes = drawEntryChanges(seed, size, options, gap);
+        cr_assert(changes == drawEntryChanges(seed, size, options, gap));
+        cr_assert_geq(changes.size(), 6U);
+        cr_assert(changes.front().at == options.calm);
+        cr_assert(changes.back().at < options.length);
+        ++perEntry.at(changes.front().entry);
+        for (size_t i = 1; i < changes.size(); ++i) {
+            ++perEntry.at(changes[i].entry);
+            cr_assert_neq(changes[i].entry, changes[i - 1].entry);
+            cr_assert(changes[i].at >= changes[i - 1].at + gap && changes[i].at <= changes[i - 1].at + 2 * gap);
+        }
+    }
+    cr_assert(std::all_of(perEntry.begin(), perEntry.end(), [](size_t n) { return n > 0; }));
+    size.entries = 1;
+    const std::vector<EntryChange> single { { options.calm, 0 } };
+    cr_assert(drawEntryChanges(1, size, options, gap) == single);
+}
+
 } // namespace fescuegw::soak
