A larger urgent task keeps the less urgent ones of its entry waiting for the same capacity

Cause: an entry's less urgent tasks got grants while its first task did not fit, so that what became free was used up piece by piece.

Change: GrantBook is given the capacity of the upstream and passes over only a task that exceeds it.

--- a/fescuegw/arbiter/GrantBook.cpp
+++ b/fescuegw/arbiter/GrantBook.cpp
@@ -49,25 +49,28 @@
     return partOfA != partOfB ? partOfA < partOfB : a.waitingSince < b.waitingSince;
 }
 
-GrantBook::Candidate GrantBook::nextCandidate(TimePoint now, const Resources& free)
+// A task that fits into the capacity but not into what is free keeps the less urgent ones of its entry waiting: they would use up
+// what becomes free piece by piece.
+GrantBook::Candidate GrantBook::nextCandidate(TimePoint now, const Resources& free, const Resources& capacity)
 {
     Candidate best;
     for (auto& [entry, demand] : m_demands) {
         if (now - demand.receivedAt > m_options.demandLifetime)
             continue;
         const auto level = std::find_if(demand.levels.begin(), demand.levels.end(),
-            [&](const Level& it) { return it.grantsIssued < it.tasks && it.need.fitsInto(free); });
-        if (level != demand.levels.end() && (best.level == nullptr || precedes(*level, *best.level)))
+            [&](const Level& it) { return it.grantsIssued < it.tasks && it.need.fitsInto(capacity); });
+        if (level != demand.levels.end() && level->need.fitsInto(free)
+            && (best.level == nullptr || precedes(*level, *best.level)))
             best = { &entry, &*level };
     }
     return best;
 }
 
-std::vector<GrantBook::Granted> GrantBook::grant(TimePoint now, Resources free, size_t maxGrants)
+std::vector<GrantBook::Granted> GrantBook::grant(TimePoint now, Resources free, const Resources& capacity, size_t maxGrants)
 {
     std::vector<Granted> granted;
     while (granted.size() < maxGrants) {
-        const Candidate next = nextCandidate(now, free);
+        const Candidate next = nextCandidate(now, free, capacity);
         if (next.level == nullptr)
             break;
         Level& level = *next.level;
--- a/fescuegw/arbiter/GrantBook.h
+++ b/fescuegw/arbiter/GrantBook.h
@@ -40,8 +40,8 @@
     // Replaces the demand of `entry`.
     void onDemand(TimePoint now, const std::string& entry, const wire::Demand&);
 
-    // Grants resources from `free` until no demand fits or `maxGrants` grants are issued.
-    std::vector<Granted> grant(TimePoint now, Resources free, size_t maxGrants);
+    // Grants resources from `free` until no demand fits or `maxGrants` grants are issued. `capacity` is that of the upstream.
+    std::vector<Granted> grant(TimePoint now, Resources free, const Resources& capacity, size_t maxGrants);
 
     // Releases the reservation of a grant that was used or declined. Returns whether it was still reserved.
     bool release(uint64_t id) { return m_reservations.erase(id) > 0; }
@@ -81,7 +81,7 @@
     };
 
     static bool precedes(const Level&, const Level&);
-    Candidate nextCandidate(TimePoint now, const Resources& free);
+    Candidate nextCandidate(TimePoint now, const Resources& free, const Resources& capacity);
 
     GrantOptions m_options;
     std::map<std::string, EntryDemand> m_demands;
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -931,9 +931,9 @@
         return;
     const bool probed = m_health.ejected() || m_slowness.isProbeDue(now, used);
     const size_t maxGrants = probed ? 1 : std::numeric_limits<size_t>::max();
-    auto granted = m_grants.grant(now, free(now), maxGrants);
+    auto granted = m_grants.grant(now, free(now), m_announcement->capacity, maxGrants);
     if (granted.empty() && isUnused())
-        granted = m_grants.grant(now, m_announcement->capacity, 1);
+        granted = m_grants.grant(now, m_announcement->capacity, m_announcement->capacity, 1);
     for (const auto& it : granted)
         m_hooks.grant(it);
 }
