Ejections and probes that ended wrongly or never

Cause: an ejected upstream was probed by tasks with time for two runs only, and a service may have none, so it stayed ejected. Silence of 400 ms (lost answers) counted as a crash and ejected as flapping; a task from before ended such an ejection; a repeated start counted as one after the ejection. While a slow upstream was probed, its entries refused all jobs if they had no other. A probe whose start was not answered counted as 0 ms and as a recovery, and probes began as soon as tasks were stopped. ReplyLoss grew without bound for a time before its last update.

Change: a probe that is overdue by 2 s may be any task; only refused connections and new processes are returns; a probed slow upstream accepts tasks without room; an unmeasured probe is abandoned.

--- a/fescuegw/arbiter/ReplyLoss.h
+++ b/fescuegw/arbiter/ReplyLoss.h
@@ -1,6 +1,7 @@
 // Delay that unanswered orders of an upstream cause.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 
@@ -34,7 +35,9 @@
     // An upstream that is not used for its delay sends no answers that would show its recovery, so knowledge of it ages.
     double remaining(TimePoint now) const
     {
-        return std::exp2(-std::chrono::duration<double>(now - m_updatedAt) / std::chrono::duration<double>(halfLife));
+        // A time before the last update would let the knowledge grow.
+        const Duration age = std::max(now - m_updatedAt, Duration());
+        return std::exp2(-std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife));
     }
 
     void decay(TimePoint now)
--- a/fescuegw/arbiter/RunTable.cpp
+++ b/fescuegw/arbiter/RunTable.cpp
@@ -119,6 +119,7 @@
             .with("undecided", count([](const Run& it) { return it.state == State::Starting && it.mayRun; }))
             .with("listed", count(isKnownToBeThere));
         endProcess(now);
+        m_wentDown = true;
         m_announcements.endProcess(m_bornMs);
         ++m_fence;
         // The next process may have got leases by the clock of the one before.
@@ -500,11 +501,15 @@
     if (it == m_runs.end())
         return;
     Run& run = it->second;
+    const bool measured = run.confirmed;
     confirm(now, run);
     const Duration took = now - run.confirmedAt;
     switch (row.how) {
     case RunEnd::Done:
         recordSuccess(now, run);
+        // Without an answer to the start, the run time is not known, and would look like that of a fast upstream.
+        if (!measured)
+            m_slowness.onStop(now);
         m_slowness.onEnd(now, fromMs(run.request.estimate_ms()), took);
         finish(now, it, wire::ATTEMPT_DONE, "");
         break;
@@ -520,10 +525,11 @@
     }
 }
 
+// The last send of a start may be a repeat after an ejection, so the time at which it was received counts.
 void RunTable::recordSuccess(TimePoint now, const Run& run)
 {
     const bool ejected = m_health.ejected();
-    m_health.onSuccess(now, run.task.job, run.sentAt);
+    m_health.onSuccess(now, run.task.job, run.receivedAt);
     if (ejected && !m_health.ejected())
         Event(Level::Info, "upstream_accepted").with("cause", toString(m_health.cause()));
 }
@@ -531,7 +537,7 @@
 void RunTable::recordFailure(TimePoint now, const Run& run)
 {
     const bool ejected = m_health.ejected();
-    m_health.onFailure(now, run.task.job, run.sentAt);
+    m_health.onFailure(now, run.task.job, run.receivedAt);
     if (!ejected)
         reportEjection();
 }
@@ -571,7 +577,8 @@
         m_clock.update(now, listing.clockMs);
         if (!m_lastListingAt) {
             Event(Level::Info, "upstream_reached").with("born", m_bornMs).with("running", listing.running.size());
-            onReturn(now);
+            if (std::exchange(m_wentDown, false))
+                onReturn(now);
         }
         // The process may have stood still since the answer.
         m_lastListingAt = std::min(now, sent + m_holdWait + maxOrderTime);
@@ -683,8 +690,11 @@
         fenceOff(m_holdFence);
         m_replyLoss.onReply(now, false);
     }
-    if (failure == HoldFailure::Refused)
+    if (failure == HoldFailure::Refused) {
+        // Before the first listing of this agent, no process is known that could return.
+        m_wentDown = m_bornMs != 0;
         loseUpstream(now, "refused");
+    }
     if (failure == HoldFailure::OtherProcess)
         onOtherProcess(now, m_holdProcess);
     m_holdFailed = true;
@@ -748,7 +758,7 @@
     const std::string entry = run.entry;
     // Starts that were refused beside the probe were never sent.
     if (state != wire::ATTEMPT_DONE && run.sendCount > 0)
-        m_slowness.abandonProbe(now);
+        m_slowness.onStop(now);
     settle(now, entry, run.request.key());
     m_runs.erase(it);
     m_hooks.report(entry, report);
@@ -824,11 +834,8 @@
 // An order without an answer may be carried out late. Once a later order has been, it is refused by its token.
 void RunTable::fenceOff(uint64_t fence) { m_fence = std::max(m_fence, fence + 1); }
 
-// The first listing of this agent is no return.
 void RunTable::onReturn(TimePoint now)
 {
-    if (!std::exchange(m_hasReached, true))
-        return;
     const bool ejected = m_health.ejected();
     m_health.onReturn(now);
     if (!ejected)
@@ -949,11 +956,15 @@
     for (const auto& it : m_announcement->labels)
         offer.add_labels(it);
     *offer.mutable_capacity() = wire::toWire(m_announcement->capacity);
-    *offer.mutable_free() = wire::toWire(free(now));
+    // While a slow upstream is probed it has no room. It still accepts tasks, or entries without another one would refuse all
+    // jobs.
+    *offer.mutable_free() = wire::toWire(m_slowness.probing() ? Resources() : free(now));
     // An ejected upstream is offered for its probe task only, and a slow one as if it were fast again.
-    const bool open = accepting(now) && !m_slowness.probing();
-    offer.set_accepting(open && m_health.admits(now, running()));
-    offer.set_ejected_percent(open ? m_health.ejectedPercent() : 0);
+    const bool open = accepting(now);
+    const bool admits = m_health.admits(now, running());
+    offer.set_accepting(open && admits);
+    const bool anyTaskProbes = admits && m_health.isProbeOverdue(now);
+    offer.set_ejected_percent(open && !anyTaskProbes ? m_health.ejectedPercent() : 0);
     constexpr uint32_t usualPercent = 100;
     // Entries would move the probe elsewhere if they knew of the slowness.
     const bool probed = m_slowness.probing() || m_slowness.isProbeDue(now, running());
--- a/fescuegw/arbiter/RunTable.h
+++ b/fescuegw/arbiter/RunTable.h
@@ -280,8 +280,8 @@
     WarmUp m_warmUp;
     // There has been no listing since a hold failed, or an order met another process.
     bool m_holdFailed = false;
-    // A listing has arrived at least once.
-    bool m_hasReached = false;
+    // Since the last listing, the known process has refused connections or has ended. Silence alone may be due to lost answers.
+    bool m_wentDown = false;
     bool m_departed = false;
     bool m_draining = false;
     // The last value of `isDomainDrained` that was logged.
--- a/fescuegw/arbiter/RunTableTest.cpp
+++ b/fescuegw/arbiter/RunTableTest.cpp
@@ -1553,3 +1553,160 @@
     agent.announce(1, 3, false, "other", Duration());
     cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 15000U);
 }
+
+namespace {
+
+// Four runs of different jobs progress at a sixth of the expected speed.
+void slowDown(Agent& agent)
+{
+    std::vector<RunningRow> rows;
+    for (int n = 1; n <= 4; ++n) {
+        const std::string job = "slow" + std::to_string(n);
+        agent.start("e1", job);
+        agent.confirm();
+        rows.push_back(row(job, 1));
+    }
+    agent.advance(ms(300));
+    agent.list(rows, {});
+    cr_assert_geq(agent.table.offer(agent.now).slowness_percent(), 250);
+}
+
+void endSlowRuns(Agent& agent, RunEnd how)
+{
+    std::vector<EndedRow> rows;
+    for (uint64_t n = 1; n <= 4; ++n)
+        rows.push_back(ended(n, "slow" + std::to_string(n), 1, how));
+    agent.list({}, rows);
+}
+
+void stayIdle(Agent& agent, int64_t milliseconds)
+{
+    for (int64_t n = 0; n < milliseconds; n += 100) {
+        agent.advance(ms(100));
+        agent.list({}, {});
+    }
+}
+
+// Three jobs fail in a row.
+void failUntilEjected(Agent& agent)
+{
+    for (uint64_t n = 1; n <= 3; ++n) {
+        const std::string job = "failed" + std::to_string(n);
+        agent.start("e1", job);
+        agent.confirm();
+        agent.list({}, { ended(n, job, 1, RunEnd::Failed) });
+    }
+    cr_assert(agent.table.ejected());
+}
+
+} // namespace
+
+// Guards against an upstream whose answers get lost, or whose agent gets no processor time, and that is ejected as one that
+// flaps.
+Test(RunTable, silenceIsNoFlapping)
+{
+    Agent agent;
+    for (int n = 0; n < 4; ++n) {
+        agent.advance(ms(500));
+        agent.table.tick(agent.now);
+        cr_assert_not(agent.table.accepting(agent.now));
+        agent.list({}, {});
+    }
+    cr_assert_not(agent.table.ejected());
+    for (int n = 0; n < 2; ++n) {
+        agent.table.onHoldFailure(agent.now, HoldFailure::Refused);
+        agent.advance(ms(500));
+        agent.list({}, {});
+    }
+    cr_assert(agent.table.ejected());
+}
+
+// Guards against an upstream that stays ejected for good, where no task may be used to probe it.
+Test(RunTable, anOverdueProbeMayBeAnyTask)
+{
+    Agent agent;
+    failUntilEjected(agent);
+    stayIdle(agent, 500);
+    cr_assert(agent.table.offer(agent.now).accepting());
+    cr_assert_eq(agent.table.offer(agent.now).ejected_percent(), 100);
+    stayIdle(agent, 2000);
+    cr_assert(agent.table.offer(agent.now).accepting());
+    cr_assert_eq(agent.table.offer(agent.now).ejected_percent(), 0);
+    agent.start("e1", "probe");
+    cr_assert_eq(agent.table.offer(agent.now).ejected_percent(), 100);
+    agent.start("e1", "second");
+    cr_assert_eq(agent.lastReason(), "ejected", "one probe at a time");
+}
+
+// Guards against a service with a single upstream that refuses all jobs while this one is probed for its slowness.
+Test(RunTable, anUpstreamThatIsProbedForItsSlownessHasNoRoom)
+{
+    Agent agent;
+    slowDown(agent);
+    endSlowRuns(agent, RunEnd::Done);
+    stayIdle(agent, 600);
+    agent.start("e1", "probe");
+    agent.confirm();
+    agent.start("e1", "second");
+    cr_assert_eq(agent.lastReason(), "probed");
+    cr_assert(agent.table.offer(agent.now).accepting());
+    cr_assert_eq(agent.table.offer(agent.now).free().cores_milli(), 0);
+}
+
+// Guards against a slow upstream that counts as fast since the start of the probe was not answered, and its end came first.
+Test(RunTable, aProbeOfUnknownLengthShowsNoRecovery)
+{
+    Agent agent;
+    slowDown(agent);
+    endSlowRuns(agent, RunEnd::Done);
+    stayIdle(agent, 600);
+    cr_assert_eq(agent.table.offer(agent.now).slowness_percent(), 100, "a probe is due");
+    agent.start("e1", "probe");
+    agent.advance(ms(50));
+    agent.list({}, { ended(5, "probe", 1, RunEnd::Done) });
+    cr_assert_geq(agent.table.offer(agent.now).slowness_percent(), 250);
+}
+
+// Guards against a probe of an upstream whose tasks have just been stopped for its slowness.
+Test(RunTable, anUpstreamIsNotProbedAsSoonAsItsTasksAreStopped)
+{
+    Agent agent;
+    slowDown(agent);
+    endSlowRuns(agent, RunEnd::Stopped);
+    cr_assert_geq(agent.table.offer(agent.now).slowness_percent(), 250);
+    stayIdle(agent, 500);
+    cr_assert_eq(agent.table.offer(agent.now).slowness_percent(), 100);
+}
+
+// Guards against a backoff that grows with tasks from before the ejection whose starts are repeated after it.
+Test(RunTable, aRepeatedStartIsFromBeforeTheEjection)
+{
+    Agent agent;
+    agent.start("e1", "early");
+    const uint64_t early = agent.starts.back().first;
+    failUntilEjected(agent);
+    agent.advance(ms(10));
+    agent.table.onStartReply(agent.now, early, StartVerdict::Unanswered);
+    agent.advance(ms(10));
+    agent.table.onStartReply(agent.now, early, StartVerdict::Accepted);
+    agent.list({}, { ended(4, "early", 1, RunEnd::Failed) });
+    stayIdle(agent, 400);
+    cr_assert(agent.table.offer(agent.now).accepting(), "the probe is due after the first backoff");
+}
+
+// Guards against starts during a drain that are sent despite an ejection.
+Test(RunTable, aStartDespiteAnEjectionIsRefusedInADrainedDomain)
+{
+    Agent agent;
+    failUntilEjected(agent);
+    auto message = agent.message("e1");
+    Agent::addStart(message, "despite", 6000, agent.now + ms(200));
+    message.mutable_starts(0)->set_despite_ejection(true);
+    agent.table.onEntry(agent.now, message);
+    cr_assert_eq(agent.starts.size(), 4);
+    agent.table.setDrainedDomains(agent.now, { "d1" });
+    cr_assert_eq(agent.table.offer(agent.now).ejected_percent(), 0);
+    message.mutable_starts(0)->mutable_key()->set_job("drained");
+    agent.table.onEntry(agent.now, message);
+    cr_assert_eq(agent.lastReason(), "domain_drained");
+}
--- a/fescuegw/arbiter/Slowness.h
+++ b/fescuegw/arbiter/Slowness.h
@@ -40,11 +40,11 @@
     }
     // A probe has begun; no other task starts until it has ended.
     void beginProbe() { m_probing = true; }
-    // Its task has ended without a result, or was not started.
-    void abandonProbe(TimePoint now)
+    // A task has ended without a result, or was not started. It abandons a probe.
+    void onStop(TimePoint now)
     {
-        if (std::exchange(m_probing, false))
-            m_lastEndAt = now;
+        m_probing = false;
+        m_lastEndAt = now;
     }
     bool probing() const { return m_probing; }
 
--- a/fescuegw/arbiter/UpstreamHealth.h
+++ b/fescuegw/arbiter/UpstreamHealth.h
@@ -31,6 +31,9 @@
     Duration initialBackoff { std::chrono::milliseconds(400) };
     Duration maxBackoff { std::chrono::milliseconds(3200) };
     Duration calmPeriod { std::chrono::seconds(5) };
+    // Entries probe with tasks that have a further attempt and time for it. A service may have none, so a probe that has been due
+    // for this long may be any task.
+    Duration maxProbeWait { std::chrono::seconds(2) };
 };
 
 enum class EjectionCause : uint8_t {
@@ -62,11 +65,11 @@
     {
     }
 
-    // A task of `job` that was started at `startedAt` has succeeded or failed. After an ejection by share, only tasks that were
-    // started since show whether the upstream has recovered.
+    // A task of `job` that was started at `startedAt` has succeeded or failed. After an ejection by share or by flapping, only
+    // tasks that were started since show whether the upstream has recovered.
     void onSuccess(TimePoint now, const std::string& job, TimePoint startedAt)
     {
-        if (m_ejected && m_cause == EjectionCause::FailureShare && startedAt <= m_ejectedAt)
+        if (m_ejected && m_cause != EjectionCause::ConsecutiveFailures && startedAt <= m_ejectedAt)
             return;
         addOutcome(job, false);
         m_consecutiveFailures = 0;
@@ -93,13 +96,14 @@
             eject(now, EjectionCause::FailureShare);
     }
 
-    // The upstream is back after a crash or a loss of its connections.
+    // The upstream is back after a crash or a loss of its connections. One that is ejected by share has to show as many successes
+    // as before.
     void onReturn(TimePoint now)
     {
         m_returns = m_returns > 0 && now - m_returnedAt <= m_options.flapPeriod ? m_returns + 1 : 1;
         m_returnedAt = now;
         if (m_returns >= m_options.flapThreshold)
-            eject(now, EjectionCause::Flapping);
+            eject(now, m_ejected && m_cause == EjectionCause::FailureShare ? m_cause : EjectionCause::Flapping);
     }
 
     // Another process has taken the place of the upstream's: outcomes say nothing about it.
@@ -115,6 +119,8 @@
     // then one at a time.
     bool admits(TimePoint now, size_t running) const { return !m_ejected || (now >= m_probeAt && running == 0); }
 
+    bool isProbeOverdue(TimePoint now) const { return m_ejected && now - m_probeAt >= m_options.maxProbeWait; }
+
     bool ejected() const { return m_ejected; }
     EjectionCause cause() const { return m_cause; }
 
--- a/fescuegw/arbiter/UpstreamHealthTest.cpp
+++ b/fescuegw/arbiter/UpstreamHealthTest.cpp
@@ -143,6 +143,40 @@
     cr_assert_not(health.ejected());
 }
 
+// Guards against an upstream that flaps and is back at once, since a task from before the loss of its connections succeeds.
+Test(UpstreamHealth, aTaskFromBeforeAReturnDoesNotEndTheEjection)
+{
+    UpstreamHealth health;
+    health.onReturn(start);
+    health.onReturn(start + ms(1400));
+    health.onSuccess(start + ms(1500), "before", start + ms(100));
+    cr_assert(health.ejected());
+}
+
+// Guards against an upstream that fails a fourth of its tasks, loses its connections too, and is back after one success.
+Test(UpstreamHealth, aReturnDoesNotLowerTheNumberOfProbes)
+{
+    UpstreamHealth health;
+    endJobs(health, start, 20, 4);
+    health.onReturn(start + ms(10));
+    health.onReturn(start + ms(20));
+    cr_assert(health.ejected());
+    health.onSuccess(start + ms(4000), "probe", start + ms(3900));
+    cr_assert(health.ejected());
+}
+
+// Guards against an ejection for good, where no task has a further attempt and time for it.
+Test(UpstreamHealth, aProbeIsOverdueAfterAWhile)
+{
+    const HealthOptions options;
+    UpstreamHealth health;
+    cr_assert_not(health.isProbeOverdue(start));
+    endJobs(health, start, 20, 4);
+    const TimePoint due = start + options.initialBackoff;
+    cr_assert_not(health.isProbeOverdue(due));
+    cr_assert(health.isProbeOverdue(due + options.maxProbeWait));
+}
+
 // Guards against a slow upstream that looks fast as soon as its tasks have been moved elsewhere.
 Test(Slowness, whatSeveralJobsShowIsKeptWhenTheyAreGone)
 {
@@ -222,3 +256,14 @@
         loss.onReply(now += ms(10), true);
     cr_assert_lt(loss.expectedDelay(now), ms(10));
 }
+
+// Guards against an undefined delay, or one that grows, if a time is before that of the last update.
+Test(ReplyLoss, anEarlierTimeIsHarmless)
+{
+    ReplyLoss loss;
+    loss.onReply(start, false);
+    const Duration delay = loss.expectedDelay(start);
+    cr_assert_eq(loss.expectedDelay(start - ms(1800000)), delay);
+    loss.onReply(start - ms(1800000), false);
+    cr_assert_lt(loss.expectedDelay(start), ms(150));
+}
