Jobs that are refused or retried wrongly beside ejected upstreams

Cause: with one ejected upstream that is due for a probe, a job that may not probe was refused as no_upstream_fits although others are used despite their ejection, and one that may was refused although an upstream of the third is tolerated for it. A start that was placed despite an ejection was not marked while a probe was due. A refusal (no failure) made a task avoid the whole domain, and the set of domains was built anew for each queued task.

Change: admission looks at the same agents as placement; the mark follows from the placement; a task keeps the domains in which it failed or was lost, without the empty one.

--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -75,9 +75,7 @@
     request.maxRun = left >= estimate ? left : std::max(usefulLeft, acceptedEstimateMultiple * estimate);
     const Task& task = job.steps[step].tasks[index];
     request.mayProbe = task.failures + 1 < job.request.route.attempts() && left >= 2 * estimate;
-    for (const auto& it : task.avoidedAgents)
-        if (const auto found = m_offers.agents().find(it); found != m_offers.agents().end())
-            request.failedDomains.insert(found->second.offer.domain());
+    request.failedDomains = &task.failedDomains;
     return request;
 }
 
@@ -110,7 +108,7 @@
             placed = m_placement.place(request.mayProbe ? ejected->second.tolerated : ejected->second.required, request);
         }
         if (placed)
-            send(now, job, position.step, position.index, *placed, 0);
+            send(now, job, position.step, position.index, *placed, 0, request.despiteEjection);
         else
             failed[task.service] = task.need.coresMilli;
     }
@@ -159,7 +157,8 @@
     outbox(agent).add_declined_grants(grant.id());
 }
 
-void JobTable::send(TimePoint now, Job& job, size_t step, size_t index, const PlacementResult& placed, uint64_t grant)
+void JobTable::send(
+    TimePoint now, Job& job, size_t step, size_t index, const PlacementResult& placed, uint64_t grant, bool despiteEjection)
 {
     AgentView* view = m_offers.find(placed.agent);
     Task& task = job.steps[step].tasks[index];
@@ -186,7 +185,7 @@
     start.set_estimate_ms(demand.estimateMs);
     start.set_start_by_us(toMicros(now + view->clockAhead + m_options.startLifetime));
     start.set_grant(grant);
-    start.set_despite_ejection(view->offer.ejected_percent() > 0 && !view->offer.accepting());
+    start.set_despite_ejection(despiteEjection);
 }
 
 // Stops attempts on upstreams that have become slow or make no progress. Each task is started elsewhere once its attempt is
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -87,7 +87,7 @@
         onDone(now, job, step);
         break;
     case wire::ATTEMPT_FAILED:
-        task.avoidedAgents.insert(agent);
+        addFailure(task, agent);
         onFailed(now, job, step, index);
         break;
     case wire::ATTEMPT_NOT_STARTED:
@@ -95,12 +95,21 @@
         onNotStarted(now, job, step, index, report.reason());
         break;
     default:
-        task.avoidedAgents.insert(agent);
+        addFailure(task, agent);
         onLost(now, job, step, index, report.reason());
         break;
     }
 }
 
+void JobTable::addFailure(Task& task, const AgentId& agent) const
+{
+    task.avoidedAgents.insert(agent);
+    const auto view = m_offers.agents().find(agent);
+    // Agents without a domain have nothing in common.
+    if (view != m_offers.agents().end() && !view->second.offer.domain().empty())
+        task.failedDomains.insert(view->second.offer.domain());
+}
+
 void JobTable::onStarted(TimePoint since, Job& job, Task& task)
 {
     if (!task.started) {
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -97,18 +97,24 @@
         return "too_many_jobs";
     if (m_drainUntil && now + m_admission.objective(job.request) > *m_drainUntil)
         return "stopping";
-    auto agents = m_offers.usable(now, route.service());
-    const bool despiteEjection = agents.empty();
-    if (despiteEjection)
-        agents = m_offers.ejected(now, route.service()).required;
-    if (agents.empty())
-        return "no_upstream";
+    const auto usable = m_offers.usable(now, route.service());
+    std::optional<EjectedAgents> ejected;
     for (size_t step = 0; step < job.steps.size(); ++step) {
         PlacementRequest request = placementRequest(now, job, step, 0);
-        request.despiteEjection = despiteEjection;
-        const bool possible = std::any_of(agents.begin(), agents.end(),
-            [&](const auto& it) { return m_placement.expectedRun(*it.first, *it.second, request).has_value(); });
-        if (!possible)
+        const auto fits = [&](const std::vector<UsableAgent>& agents) {
+            return std::any_of(agents.begin(), agents.end(),
+                [&](const auto& it) { return m_placement.expectedRun(*it.first, *it.second, request).has_value(); });
+        };
+        if (fits(usable))
+            continue;
+        if (!ejected)
+            ejected = m_offers.ejected(now, route.service());
+        // The same agents as for placement.
+        const auto& others = request.mayProbe ? ejected->tolerated : ejected->required;
+        if (usable.empty() && others.empty())
+            return "no_upstream";
+        request.despiteEjection = true;
+        if (!fits(others))
             return "no_upstream_fits";
     }
     const Duration waited = m_queue.longestWait(now, route.service(), route.priority());
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -150,6 +150,8 @@
         // Start of the wait for capacity, kept across attempts that were given back.
         std::optional<TimePoint> waitingSince;
         std::set<AgentId> avoidedAgents;
+        // Failure domains in which attempts have failed or were lost.
+        std::set<std::string> failedDomains;
     };
 
     struct Step {
@@ -203,9 +205,11 @@
     void dispatchPending(TimePoint now);
     void dispatchToAgent(TimePoint now, const AgentId&);
     void useGrant(TimePoint now, const AgentId&, const wire::Grant&);
-    void send(TimePoint now, Job&, size_t step, size_t index, const PlacementResult&, uint64_t grant);
+    void send(
+        TimePoint now, Job&, size_t step, size_t index, const PlacementResult&, uint64_t grant, bool despiteEjection = false);
     void moveSlowAttempts(TimePoint now, Job&);
     void applyReport(TimePoint now, const AgentId&, const wire::AttemptReport&);
+    void addFailure(Task&, const AgentId&) const;
     void onCrash(TimePoint now, const AgentId&, const wire::AttemptReport&);
     std::string crashReason(TimePoint now, const Job&, size_t step, size_t index) const;
     void queueAgain(TimePoint now, Job&, size_t step, size_t index);
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -42,6 +42,8 @@
         it.set_seen_sequence(1000);
         it.set_first_report(1);
         it.mutable_offer()->set_service("s");
+        if (const auto domain = domains.find(agent); domain != domains.end())
+            it.mutable_offer()->set_domain(domain->second);
         it.mutable_offer()->set_accepting(true);
         it.mutable_offer()->set_slowness_percent(slowness.contains(agent) ? slowness.at(agent) : 100);
         it.mutable_offer()->mutable_capacity()->set_cores_milli(64000);
@@ -119,6 +121,7 @@
     std::map<AgentId, uint64_t> reports;
     std::map<AgentId, uint64_t> acked;
     std::map<AgentId, uint32_t> slowness;
+    std::map<AgentId, std::string> domains;
     std::map<std::string, JobOutcome> outcomes;
     std::vector<uint64_t> goneCallers;
     JobTable table;
@@ -764,3 +767,63 @@
     cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
     cr_assert_eq(entry.stops.size(), 1);
 }
+
+namespace {
+
+const AgentId a3 { "a3", 7 };
+
+void offerEjected(Entry& entry, const AgentId& agent, uint32_t percent, bool accepting, uint32_t cores)
+{
+    auto message = entry.message(agent, cores);
+    message.mutable_offer()->set_accepting(accepting);
+    message.mutable_offer()->set_ejected_percent(percent);
+    entry.table.onAgent(entry.now, message);
+    entry.table.flush(entry.now);
+}
+
+} // namespace
+
+// All upstreams are ejected, one may be probed, and a job has no time for a further attempt.
+Test(JobTable, aJobThatMayNotProbeUsesAnUpstreamDespiteItsEjection)
+{
+    Entry entry;
+    offerEjected(entry, a1, 40, true, 64000);
+    offerEjected(entry, a2, 30, false, 0);
+    offerEjected(entry, a3, 100, false, 64000);
+    entry.submit("j", 1, 0, 900);
+    cr_assert_not(entry.answered("j"));
+    cr_assert_eq(entry.starts.size(), 1);
+    cr_assert(entry.starts[0].first == a1);
+    cr_assert(entry.starts[0].second.despite_ejection());
+}
+
+// The only upstream of a service is ejected, and fails less than half of its tasks.
+Test(JobTable, aJobWithAFurtherAttemptUsesTheOnlyUpstreamDespiteItsEjection)
+{
+    Entry entry;
+    offerEjected(entry, a1, 30, false, 64000);
+    entry.submit("j", 1, 0, 60);
+    cr_assert_eq(entry.starts.size(), 1);
+    cr_assert(entry.starts[0].second.despite_ejection());
+    entry.submit("long", 1, 0, 900);
+    cr_assert(entry.kind("long") == JobOutcome::Kind::NotRun);
+}
+
+// Guards against a failure domain that is avoided since one of its agents has refused a task, and against second attempts in the
+// domain where the first one has failed.
+Test(JobTable, onlyFailuresCountAgainstAFailureDomain)
+{
+    for (const auto state : { wire::ATTEMPT_NOT_STARTED, wire::ATTEMPT_FAILED }) {
+        Entry entry;
+        entry.slowness[a3] = 130;
+        entry.domains = { { a1, "d1" }, { a2, "d1" }, { a3, "d2" } };
+        entry.offer(a1, 64000);
+        entry.submit("j", 1);
+        entry.offer(a2, 64000);
+        entry.offer(a3, 64000);
+        cr_assert_eq(entry.starts.size(), 1);
+        entry.report(a1, entry.starts[0].second, state, "probed", 64000);
+        cr_assert_eq(entry.starts.size(), 2);
+        cr_assert(entry.starts[1].first == (state == wire::ATTEMPT_FAILED ? a3 : a2));
+    }
+}
--- a/fescuegw/direct/Placement.cpp
+++ b/fescuegw/direct/Placement.cpp
@@ -70,7 +70,7 @@
             continue;
         const bool avoided = request.avoidedAgents->contains(*id);
         // A second failure costs at least one more run.
-        const bool mayFailAgain = request.failedDomains.contains(view->offer.domain());
+        const bool mayFailAgain = request.failedDomains != nullptr && request.failedDomains->contains(view->offer.domain());
         const Duration cost = *run + crowdingPenaltyFor(view->free, request.step->need) + (mayFailAgain ? *run : Duration());
         const bool sooner = cost / finishTimeResolution < bestCost / finishTimeResolution;
         const bool moreCores
--- a/fescuegw/direct/Placement.h
+++ b/fescuegw/direct/Placement.h
@@ -29,8 +29,8 @@
     const std::map<AgentId, uint32_t>* tasksPerAgent = nullptr;
     // Longest expected run time that is acceptable.
     Duration maxRun {};
-    // Failure domains in which the task has failed: upstreams there may share the cause.
-    std::set<std::string> failedDomains {};
+    // Failure domains in which the task has failed or was lost: upstreams there may share the cause.
+    const std::set<std::string>* failedDomains = nullptr;
     // Whether the task may be used to probe an ejected upstream: a further attempt elsewhere is permitted and in time.
     bool mayProbe = true;
     // Whether the agents are ejected, and used since too many are.
