--- a/fescuegw/arbiter/GrantBookTest.cpp
+++ b/fescuegw/arbiter/GrantBookTest.cpp
@@ -45,8 +45,8 @@
 
 constexpr TimePoint now { std::chrono::hours(1) };
 constexpr size_t unlimited = 1000;
-// Of an upstream, in tasks, and of one that none of the tasks exceeds.
-const Resources capacity { 8 * taskCores, 100000, 0 };
+// Of an upstream.
+constexpr Resources capacity { 8 * taskCores, 100000, 0 };
 
 } // namespace
 
