--- a/fescuegw/http/Server.cpp
+++ b/fescuegw/http/Server.cpp
@@ -198,24 +198,25 @@
 }
 
 struct Server::Impl {
-    ServerOptions options;
-    Handler handler;
     MHD_Daemon* daemon = nullptr;
-    int quiescedDescriptor = -1;
     std::atomic<uint64_t> pending { 0 };
     std::atomic<uint64_t> lastExchange { 0 };
-    std::atomic<bool> closesAfterResponse { false };
+    std::thread sweeper;
+    Handler handler;
     mutable std::mutex unansweredMutex;
     // Exchanges whose connections are suspended, by number.
     std::map<uint64_t, std::shared_ptr<Exchange>> unansweredExchanges;
-    // Guarded by `unansweredMutex`.
-    bool refusesRequests = false;
     std::mutex connectionsMutex;
     std::condition_variable sweeperWakeUp;
-    bool stopped = false;
     std::map<MHD_Connection*, Connection> connections;
+    ServerOptions options;
+    int quiescedDescriptor = -1;
+    std::atomic<bool> closesAfterResponse { false };
+    // Guarded by `unansweredMutex`.
+    bool refusesRequests = false;
+    // Guarded by `connectionsMutex`.
+    bool stopped = false;
     std::atomic<bool> budgetWasUsedUp { false };
-    std::thread sweeper;
 
     static MHD_Result onAccess(void* user, MHD_Connection* connection, const char* url, const char* method,
         const char* /*version*/, const char* uploadData, size_t* uploadSize, void** slot)
