--- a/review/standin-3/Cluster.cpp
+++ b/review/standin-3/Cluster.cpp
@@ -31,7 +31,6 @@
     constexpr int64_t restartDelayMs = 500;
     constexpr int64_t formationMs = 20000;
     constexpr int64_t callMs = 1000;
-    constexpr int64_t patienceMs = 1500;
     constexpr int statusOk = 200;
     constexpr const char* service = "raport";
     constexpr const char* host = "nony24.example";
@@ -224,9 +223,9 @@
     const nlohmann::json configuration {
         { "version", 7 },
         { "routes",
-            { { { "name", "r-1" }, { "host", host }, { "pathPrefix", prefix }, { "kind", "unsafe" }, { "timeoutMs", patienceMs },
-                { "targetLatencyMs", 60 }, { "priority", 0 }, { "service", service }, { "maxAttempts", 2 },
-                { "stretch", 1.6 } } } },
+            { { { "name", "r-1" }, { "host", host }, { "pathPrefix", prefix }, { "kind", "unsafe" },
+                { "timeoutMs", m_options.patienceMs }, { "targetLatencyMs", 60 }, { "priority", 0 }, { "service", service },
+                { "maxAttempts", 2 }, { "stretch", 1.6 } } } },
         { "services",
             { { { "name", service }, { "healthCheckPath", "/health" }, { "maxConnections", 64 }, { "protocol", "h1" },
                 { "tls", false }, { "rejectsOverload", false }, { "standby", false } } } },
@@ -314,12 +313,20 @@
     job["steps"] = nlohmann::json::parse(steps);
     m_record.write("job " + id + " to entry" + std::to_string(entry) + ": " + summaryOf(job.dump()));
     Reply reply = call(address(firstEntry, entry, callerPort), "POST", prefix + id,
-        std::string("Host: ") + host + "\r\nX-Remaining-Milliseconds: " + std::to_string(patienceMs) + "\r\n", job.dump(),
-        patienceMs);
+        std::string("Host: ") + host + "\r\nX-Remaining-Milliseconds: " + std::to_string(m_options.patienceMs) + "\r\n",
+        job.dump(), m_options.patienceMs);
     m_record.write("job " + id + " answered: " + std::to_string(reply.status) + " " + reply.body);
     return reply;
 }
 
+Reply Cluster::cancel(size_t entry, const std::string& id) const
+{
+    Reply reply
+        = call(address(firstEntry, entry, callerPort), "DELETE", prefix + id, std::string("Host: ") + host + "\r\n", "", callMs);
+    m_record.write("cancel of " + id + " at entry" + std::to_string(entry) + " answered: " + std::to_string(reply.status));
+    return reply;
+}
+
 bool Cluster::isReady(size_t entry) const
 {
     return call(address(firstEntry, entry, readinessPort), "GET", "/v1/readiness", "", "", callMs).status == statusOk;
--- a/review/standin-3/Cluster.h
+++ b/review/standin-3/Cluster.h
@@ -22,6 +22,8 @@
     size_t agents = 11;
     size_t replicas = 5;
     bool recordsRuns = true;
+    // How long callers wait, which is also the time-out of the route.
+    int64_t patienceMs = 1500;
     // Of a worker, from its number.
     std::string (*kindOf)(size_t) = [](size_t) { return std::string("a"); };
 };
@@ -53,6 +55,8 @@
 
     // Hands a job in at one entry. `steps` is a JSON list.
     Reply submit(size_t entry, const std::string& id, const std::string& specification, const std::string& steps) const;
+    // Cancels a job at one entry.
+    Reply cancel(size_t entry, const std::string& id) const;
     bool isReady(size_t entry) const;
 
     // Called for each start on a worker.
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -155,7 +155,7 @@
 // again while it gets none, and leaves the Retry-After time after a refusal.
 int playWideJobs(const Case& options, Record& record)
 {
-    constexpr size_t crowd = 60;
+    constexpr size_t crowd = 120;
     constexpr size_t tasks = 840;
     constexpr size_t specificationBytes = 4000;
     constexpr size_t endsOfOneMachine = 3;
@@ -224,6 +224,67 @@
             + std::to_string(unanswered) + " of " + std::to_string(ordinary) + " ordinary jobs got no answer");
 }
 
+// Of 18 jobs of ten steps, one after the other, 6 are cancelled on a connection that the platform forwards to another entry.
+int playCancelElsewhere(const Case& options, Record& record)
+{
+    constexpr size_t jobs = 18;
+    constexpr size_t cancelledJobs = 6;
+    constexpr size_t steps = 10;
+    constexpr int64_t patienceMs = 10000;
+    constexpr int64_t cancelAfterMs = 700;
+    constexpr int64_t cancelMs = 3000;
+    constexpr int statusOk = 200;
+    constexpr int statusGone = 410;
+    ClusterOptions clusterOptions;
+    clusterOptions.programs = options.programs;
+    clusterOptions.folder = options.folder;
+    clusterOptions.patienceMs = patienceMs;
+    Cluster cluster(clusterOptions, record);
+    std::mutex mutex;
+    std::map<std::string, int64_t> cancelledAt;
+    std::atomic<size_t> late { 0 };
+    cluster.onStart = [&](size_t /*worker*/, const std::string& task, uint64_t run, const std::string& /*kind*/) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const auto it = cancelledAt.find(task.substr(0, task.find('.')));
+        if (it == cancelledAt.end() || nowMs() - it->second <= cancelMs)
+            return;
+        ++late;
+        record.write("UNASKED: " + task + " run " + std::to_string(run) + " starts " + std::to_string(nowMs() - it->second)
+            + " ms after the cancelling was acknowledged");
+    };
+    if (!cluster.start())
+        return exitNotRun;
+    std::string list;
+    for (size_t i = 0; i < steps; ++i)
+        list.append(i == 0 ? "[" : ",")
+            .append(R"({"count":1,"cpu":1000,"memoryRequestMb":64,"estimatedRuntimeMs":600)")
+            .append(i == 0 ? "" : R"(,"after":[)" + std::to_string(i - 1) + "]")
+            .append("}");
+    list += "]";
+    std::vector<std::thread> callers;
+    for (size_t job = 0; job < jobs; ++job)
+        callers.emplace_back([&, job] {
+            const size_t entry = job % cluster.entries();
+            const std::string id = Cluster::newId();
+            std::thread caller([&] { cluster.submit(entry, id, "work 600", list); });
+            sleepMs(cancelAfterMs);
+            if (job >= cancelledJobs) {
+                caller.join();
+                return;
+            }
+            const Reply reply = cluster.cancel(options.trouble ? (entry + 1) % cluster.entries() : entry, id);
+            if (reply.status == statusOk || reply.status == statusGone) {
+                const std::lock_guard<std::mutex> lock(mutex);
+                cancelledAt[id] = nowMs();
+            }
+            caller.join();
+        });
+    for (auto& it : callers)
+        it.join();
+    return verdict(
+        record, late > 0, std::to_string(late) + " tasks started over 3 s after the cancelling of their job was acknowledged");
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -238,6 +299,8 @@
         return playEmptyStep(options, record);
     if (arguments[0] == "other-kind")
         return playOtherKind(options, record);
+    if (arguments[0] == "cancel-elsewhere")
+        return playCancelElsewhere(options, record);
     if (arguments[0] == "wide-jobs")
         return playWideJobs(options, record);
     return exitNotRun;
