Review case 13: a start on a worker that is back as another kind

Cause: the entry compares a task's label with the agent's last offer, and neither the order to the agent nor the agent's own checks name the label or the life of the worker that the entry chose by.

The stand-in plays four callers for each entry, each with pauses of 200 ms: with a higher rate of starts the entries ask for offers more often, and the case showed less often.

--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -95,7 +95,8 @@
     constexpr int64_t lengthMs = 60000;
     constexpr int64_t downMs = 100;
     constexpr int64_t betweenCrashesMs = 1000;
-    constexpr int64_t betweenJobsMs = 10;
+    constexpr int64_t betweenJobsMs = 200;
+    constexpr size_t callersOfOneEntry = 4;
     constexpr size_t workers = 24;
     // Of these, every other one is of kind "b" at first, and so is every other one that comes back.
     constexpr size_t changing = 6;
@@ -121,8 +122,9 @@
         return exitNotRun;
     const int64_t until = nowMs() + lengthMs;
     std::vector<std::thread> callers;
-    for (size_t entry = 0; entry < cluster.entries(); ++entry)
-        callers.emplace_back([&, entry] {
+    for (size_t n = 0; n < callersOfOneEntry * cluster.entries(); ++n)
+        callers.emplace_back([&, n] {
+            const size_t entry = n % cluster.entries();
             while (nowMs() < until) {
                 const std::string id = Cluster::newId();
                 {
