A step of no tasks no longer ends the entry, nor starts later steps early

Callers saw: a job with a step of no tasks got no answer, since the entry ended with SIGSEGV. Its repeats ended the other entries, and jobs of others there got no answer.

Cause: on submission, JobTable asked by the first task of each step whether an upstream can run it. A step of no tasks has none. Two more places took a step for one with tasks: such a step counted as complete from the beginning, so that steps after it started before those before it, and its estimate was added to the latency objective.

Fix: admission asks no upstream for such a step; it is complete once the steps before it are; it takes no time.

The six new tests of JobTable failed before (five crashed, one with a wrong objective).

--- a/fescuegw/direct/Admission.cpp
+++ b/fescuegw/direct/Admission.cpp
@@ -12,7 +12,7 @@
         Duration start {};
         for (const uint32_t it : step.after)
             start = std::max(start, ends[it]);
-        ends.push_back(start + std::chrono::milliseconds(step.estimateMs));
+        ends.push_back(start + std::chrono::milliseconds(step.count > 0 ? step.estimateMs : 0));
         longest = std::max(longest, ends.back());
     }
     return longest;
--- a/fescuegw/direct/JobPlacing.cpp
+++ b/fescuegw/direct/JobPlacing.cpp
@@ -13,16 +13,19 @@
 bool JobTable::isReady(const Job& job, size_t step) const
 {
     const auto& after = job.request.job.steps[step].after;
-    return std::all_of(after.begin(), after.end(), [&](uint32_t it) { return job.steps[it].done == job.steps[it].tasks.size(); });
+    return std::all_of(after.begin(), after.end(), [&](uint32_t it) { return job.steps[it].complete; });
 }
 
+// Steps refer only to earlier ones, so a single pass follows steps without tasks to those that depend on them.
 void JobTable::enqueueReady(TimePoint now, Job& job)
 {
     for (size_t step = 0; step < job.steps.size(); ++step) {
-        if (!isReady(job, step))
+        Step& current = job.steps[step];
+        if (current.complete || !isReady(job, step))
             continue;
-        for (size_t index = 0; index < job.steps[step].tasks.size(); ++index)
-            if (job.steps[step].tasks[index].state == TaskState::Pending && !job.steps[step].tasks[index].queued)
+        current.complete = current.done == current.tasks.size();
+        for (size_t index = 0; index < current.tasks.size(); ++index)
+            if (current.tasks[index].state == TaskState::Pending && !current.tasks[index].queued)
                 enqueue(now, job, step, index);
     }
 }
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -99,6 +99,8 @@
     const auto usable = m_offers.usable(now, route.service());
     std::optional<EjectedAgents> ejected;
     for (size_t step = 0; step < job.steps.size(); ++step) {
+        if (job.steps[step].tasks.empty())
+            continue;
         PlacementRequest request = placementRequest(now, job, step, 0);
         const auto fits = [&](const std::vector<UsableAgent>& agents) {
             return std::any_of(agents.begin(), agents.end(),
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -100,7 +100,8 @@
 public:
     JobTable(JobTableOptions, JobTableHooks);
 
-    // Accepts a job, joins it to one in flight with the same id, or answers it immediately.
+    // Accepts a job, joins it to one in flight with the same id, or answers it immediately. A step may have no tasks, but the job
+    // has at least one.
     void submit(TimePoint now, JobRequest, JobResponder);
     // Accepts only jobs whose objective ends before `until`, and ends the jobs that are still in flight then.
     void drain(TimePoint until) { m_drainUntil = until; }
@@ -158,6 +159,8 @@
     struct Step {
         std::vector<Task> tasks;
         size_t done = 0;
+        // All tasks are done, and all steps before it are complete, which a step without tasks is not known by itself.
+        bool complete = false;
         std::map<AgentId, uint32_t> tasksPerAgent;
     };
 
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -1,4 +1,6 @@
 // A JobTable against simulated agents. Each test reproduces the load or failure that its comment names.
+#include <random>
+
 #include <criterion/criterion.h>
 
 #include "fescuegw/direct/JobTable.h"
@@ -80,7 +82,22 @@
         report(agent, start, wire::ATTEMPT_LOST, "upstream_restarted", 64000);
     }
 
+    static StepDemand step(uint32_t count, std::vector<uint32_t> after = {}, uint32_t estimateMs = 200)
+    {
+        StepDemand step;
+        step.count = count;
+        step.need = { 6000, 64, 0 };
+        step.estimateMs = estimateMs;
+        step.after = std::move(after);
+        return step;
+    }
+
     void submit(const std::string& id, uint32_t count, uint32_t priority = 0, uint32_t estimateMs = 200)
+    {
+        submitSteps(id, { step(count, {}, estimateMs) }, priority);
+    }
+
+    void submitSteps(const std::string& id, std::vector<StepDemand> steps, uint32_t priority = 0)
     {
         JobRequest request;
         request.id = id;
@@ -91,11 +108,7 @@
         request.route.set_latency_target_ms(60);
         request.patience = ms(5000);
         request.exchange = ++exchange;
-        StepDemand step;
-        step.count = count;
-        step.need = { 6000, 64, 0 };
-        step.estimateMs = estimateMs;
-        request.job.steps = { step };
+        request.job.steps = std::move(steps);
         table.submit(now, request, [this, id](const JobOutcome& outcome) { outcomes[id] = outcome; });
         table.flush(now);
     }
@@ -857,3 +870,122 @@
         cr_assert(entry.starts[1].first == (state == wire::ATTEMPT_FAILED ? a3 : a2));
     }
 }
+
+// Guards against the crash of the entry on a job with a step of no tasks: its first task was read on submission.
+Test(JobTable, aJobWithAStepOfNoTasksIsAnsweredWhenItsOtherTasksHaveEnded)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submitSteps("j", { Entry::step(2), Entry::step(0, { 0 }) });
+    cr_assert_eq(entry.starts.size(), 2);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE);
+    cr_assert_not(entry.answered("j"));
+    entry.report(a1, entry.starts[1].second, wire::ATTEMPT_DONE);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
+}
+
+// The same crash, with the step of no tasks as the first one. No upstream has the label that it requires.
+Test(JobTable, aStepOfNoTasksNeedsNoUpstream)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    StepDemand empty = Entry::step(0);
+    empty.requiredLabel = "unknown";
+    entry.submitSteps("j", { empty, Entry::step(1, { 0 }) });
+    cr_assert_eq(entry.starts.size(), 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
+}
+
+// Guards against a start ahead of its order: steps of no tasks would count as complete from the beginning.
+Test(JobTable, aStepOfNoTasksIsCompleteOnceTheStepsBeforeItAre)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submitSteps(
+        "j", { Entry::step(1), Entry::step(0, { 0 }), Entry::step(0, { 1 }), Entry::step(1, { 2 }), Entry::step(0, { 3 }) });
+    cr_assert_eq(entry.starts.size(), 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    cr_assert_eq(entry.starts.size(), 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE, "", 64000);
+    cr_assert_eq(entry.starts.size(), 2);
+    cr_assert_eq(entry.starts[1].second.key().step(), 3);
+    cr_assert_not(entry.answered("j"));
+    entry.report(a1, entry.starts[1].second, wire::ATTEMPT_DONE);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
+}
+
+// Guards against a stack overflow: a body of the permitted size holds more steps than a recursion has room for.
+Test(JobTable, aLongChainOfStepsOfNoTasksIsFollowed)
+{
+    constexpr uint32_t emptySteps = 80000;
+    Entry entry;
+    entry.offer(a1, 64000);
+    std::vector<StepDemand> steps { Entry::step(1) };
+    for (uint32_t it = 0; it < emptySteps; ++it)
+        steps.push_back(Entry::step(0, { it }, 0));
+    steps.push_back(Entry::step(1, { emptySteps }));
+    entry.submitSteps("j", steps);
+    cr_assert_eq(entry.starts.size(), 1);
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_DONE, "", 64000);
+    cr_assert_eq(entry.starts.size(), 2);
+    entry.report(a1, entry.starts[1].second, wire::ATTEMPT_DONE);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Completed);
+}
+
+// Guards against an objective that counts the estimates of tasks that do not exist: such a job would be waited for and placed as
+// if it had more time.
+Test(JobTable, aStepOfNoTasksTakesNoTime)
+{
+    JobRequest request;
+    request.route.set_stretch_percent(100);
+    request.job.steps = { Entry::step(1), Entry::step(0, { 0 }, 60000), Entry::step(1, { 1 }) };
+    const Entry entry;
+    cr_assert(entry.table.objective(request) == ms(400));
+}
+
+// Jobs of any shape, with steps of no tasks in any place: no task starts before all steps that its own depends on, directly or
+// not, have ended, and each job completes.
+Test(JobTable, jobsOfAnyShapeAreRunInOrder)
+{
+    constexpr uint64_t seeds = 500;
+    constexpr uint32_t maxSteps = 8;
+    constexpr uint32_t maxCount = 3;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<StepDemand> steps;
+        std::vector<std::set<uint32_t>> before;
+        size_t tasks = 0;
+        const uint64_t n = 1 + random() % maxSteps;
+        for (uint32_t step = 0; step < n; ++step) {
+            StepDemand added = Entry::step(static_cast<uint32_t>(random() % maxCount));
+            std::set<uint32_t> all;
+            for (uint32_t it = 0; it < step; ++it) {
+                if (random() % 3 != 0)
+                    continue;
+                added.after.push_back(it);
+                all.insert(it);
+                all.insert(before[it].begin(), before[it].end());
+            }
+            tasks += added.count;
+            steps.push_back(added);
+            before.push_back(all);
+        }
+        if (tasks == 0)
+            continue;
+        Entry entry;
+        entry.offer(a1, 64000);
+        entry.submitSteps("j", steps);
+        std::vector<uint32_t> done(steps.size());
+        for (size_t i = 0; i < tasks; ++i) {
+            cr_assert_gt(entry.starts.size(), i, "seed %llu", static_cast<unsigned long long>(seed));
+            const wire::StartTask start = entry.starts[i].second;
+            for (const uint32_t it : before[start.key().step()])
+                cr_assert_eq(done[it], steps[it].count, "seed %llu", static_cast<unsigned long long>(seed));
+            entry.report(a1, start, wire::ATTEMPT_DONE, "", 64000);
+            ++done[start.key().step()];
+        }
+        cr_assert(entry.answered("j") && entry.kind("j") == JobOutcome::Kind::Completed, "seed %llu",
+            static_cast<unsigned long long>(seed));
+    }
+}
