A process whose settings name no replica yet waits for one

An agent (or entry) whose list of seeds is empty at its start ended with SIGSEGV, and would have done so after each restart until the list is filled. The platform's page allows fewer than three seeds, and settings are read again while a process runs.

Cause: StateClient sends to the replica at its target index without asking whether it knows any.

Fix: without a replica nothing is sent; what is due goes out once a replica is named.

Evidence: StateClient/waitsForItsFirstReplica crashed before; group_test (4) passes.

--- a/fescuegw/group/StateClient.cpp
+++ b/fescuegw/group/StateClient.cpp
@@ -49,6 +49,10 @@
 
 void StateClient::sendRequest(TimePoint now, PendingRequest& pending)
 {
+    if (m_replicas.empty()) {
+        pending.retryAt = now;
+        return;
+    }
     pending.retryAt = now + m_options.requestTimeout;
     m_hooks.send(m_replicas[m_targetIndex], pending.request);
 }
@@ -200,6 +204,9 @@
 
 void StateClient::flush(TimePoint now, const wire::EntryInfo& self)
 {
+    // Settings may name the first replica only when they are reloaded.
+    if (m_replicas.empty())
+        return;
     sendProposals(now);
     if (m_reachable && now - m_lastContact > m_options.unreachableTimeout)
         setReachable(now, false);
--- a/fescuegw/group/StateClientTest.cpp
+++ b/fescuegw/group/StateClientTest.cpp
@@ -17,11 +17,11 @@
 TimePoint at(int ms) { return TimePoint(std::chrono::milliseconds(1000 + ms)); }
 
 struct ClientFixture {
-    ClientFixture()
+    explicit ClientFixture(std::vector<std::string> replicas = { "a", "b", "c" })
     {
         StateClientHooks hooks;
         hooks.send = [this](const std::string& replica, const wire::StateRequest& it) { sent.emplace_back(replica, it); };
-        client = std::make_unique<StateClient>(StateClientOptions(), std::vector<std::string> { "a", "b", "c" }, hooks);
+        client = std::make_unique<StateClient>(StateClientOptions(), std::move(replicas), hooks);
     }
 
     void flush(TimePoint now) { client->flush(now, wire::EntryInfo()); }
@@ -90,3 +90,24 @@
     entry.flush(at(0), wire::EntryInfo());
     cr_assert_eq(sent.back().heartbeat().known_routing_version(), 0U);
 }
+
+// Guards against the crash of a process whose settings name no replica yet.
+Test(StateClient, waitsForItsFirstReplica)
+{
+    ClientFixture fixture(std::vector<std::string> {});
+    bool answered = false;
+    fixture.flush(at(0));
+    fixture.client->request(at(10), wire::StateRequest(), [&](TimePoint, const wire::StateReply&) { answered = true; });
+    fixture.client->propose(wire::Command(), [](TimePoint, const wire::CommandResult&) {});
+    for (int ms = 0; ms < 2000; ms += 100)
+        fixture.flush(at(ms));
+    cr_assert(fixture.sent.empty());
+    fixture.client->addReplicas({ "a" });
+    fixture.flush(at(2000));
+    // The heartbeat, the request and the command.
+    cr_assert_eq(fixture.sent.size(), 3);
+    wire::StateReply reply;
+    reply.set_request_id(1);
+    fixture.client->onReply(at(2010), "a", reply);
+    cr_assert(answered);
+}
