An emptied identity file of a replica is damage

A replica whose identity file was emptied started with identity 0, which means "not known": its members then accept any disk under its id.

Cause: an empty file is a valid message without fields, so it parsed.

Fix: no replica has identity 0, so such a file is refused as damaged, like one that can't be parsed.

Evidence: replicaStore/rejectsAnEmptiedIdentity failed before; storage_test (9) passes.

--- a/fescuegw/storage/ReplicaStore.cpp
+++ b/fescuegw/storage/ReplicaStore.cpp
@@ -160,7 +160,8 @@
 {
     Recovered recovered;
     if (const auto content = readFile(path(identityName))) {
-        if (!recovered.identity.ParseFromString(*content))
+        // An empty file is a message without fields.
+        if (!recovered.identity.ParseFromString(*content) || recovered.identity.identity() == 0)
             return tl::unexpected(diskError(path(identityName) + ": damaged"));
     } else {
         if (readFile(path(logName)))
--- a/fescuegw/storage/ReplicaStoreTest.cpp
+++ b/fescuegw/storage/ReplicaStoreTest.cpp
@@ -132,6 +132,19 @@
     cr_assert_not(first.open(replicaId).has_value());
 }
 
+// Guards against a replica that takes part without an id and an identity: an empty file is a valid message.
+Test(replicaStore, rejectsAnEmptiedIdentity)
+{
+    const std::string folder = newFolder();
+    writeEntries(folder, 1);
+    std::filesystem::resize_file(folder + "/identity", 0);
+    ReplicaStore store(folder, systemDisk());
+    wire::DiskIdentity fresh;
+    fresh.set_id(replicaId);
+    fresh.set_identity(1);
+    cr_assert_not(store.openAs(fresh).has_value());
+}
+
 Test(replicaStore, rejectsWritesAfterFailedSync)
 {
     const std::string folder = newFolder();
