A proposal of no commands is answered at once

Callers saw: nothing in our runs; no process of ours sends such a request. A replica kept it without an answer until others proposed something, and a sender that repeats it filled the leader's memory.

Cause: requests of a batch are answered with the entry of their commands, and a batch without commands makes no entry.

Fix: a proposal of no commands is answered with no results.

Evidence: StateServer/aProposalOfNoCommandsIsAnswered failed before (no answer in 30 s); state_server_test (3) passes.

--- a/fescuegw/state/StateServer.cpp
+++ b/fescuegw/state/StateServer.cpp
@@ -602,6 +602,13 @@
 
 void StateServer::onPropose(uint64_t requestId, const wire::ProposeRequest& request, const ReplyHook& reply)
 {
+    if (request.commands().empty()) {
+        wire::StateReply answer;
+        answer.set_request_id(requestId);
+        answer.mutable_propose();
+        reply(answer);
+        return;
+    }
     m_batchRequests.push_back(PendingRequest {
         reply, requestId, static_cast<size_t>(m_batch.commands_size()), static_cast<size_t>(request.commands_size()) });
     for (const auto& it : request.commands())
--- a/fescuegw/state/StateServerTest.cpp
+++ b/fescuegw/state/StateServerTest.cpp
@@ -61,11 +61,9 @@
     bool hasEnded() const { return m_ended; }
     int exitCode() const { return m_exitCode; }
 
-    // Returns the addresses of the voters, or nothing if this replica does not lead.
-    std::vector<std::string> voters()
+    // Returns the reply to a request, or nothing if there was none.
+    std::optional<wire::StateReply> ask(const wire::StateRequest& request)
     {
-        wire::StateRequest request;
-        request.mutable_group_status();
         auto answered = std::make_shared<Answer>();
         m_server.submit(request, [answered](const wire::StateReply& reply) {
             const std::lock_guard<std::mutex> lock(answered->mutex);
@@ -74,9 +72,17 @@
         });
         std::unique_lock<std::mutex> lock(answered->mutex);
         answered->condition.wait_for(lock, std::chrono::seconds(1), [&] { return answered->reply.has_value(); });
+        return answered->reply;
+    }
+
+    // Returns the addresses of the voters, or nothing if this replica does not lead.
+    std::vector<std::string> voters()
+    {
+        wire::StateRequest request;
+        request.mutable_group_status();
         std::vector<std::string> list;
-        if (answered->reply)
-            for (const auto& it : answered->reply->group_status().replicas())
+        if (const auto reply = ask(request))
+            for (const auto& it : reply->group_status().replicas())
                 if (it.voter())
                     list.push_back(it.address());
         return list;
@@ -232,3 +238,15 @@
     cr_assert_eq(voters.size(), 5U, "%zu voters", voters.size());
     cr_assert(contains(voters, group.address(stopped)));
 }
+
+// Guards against a request that is kept without an answer: a proposal of no commands waited for the next command of others.
+Test(StateServer, aProposalOfNoCommandsIsAnswered)
+{
+    Group group;
+    wire::StateRequest request;
+    request.mutable_propose();
+    cr_assert(waitUntil([&] {
+        const auto reply = group.member(group.leader()).ask(request);
+        return reply && reply->has_propose() && reply->propose().results().empty();
+    }));
+}
