A cancel reaches the entry that has the job, through the agents

Callers saw: a caller that waits for a job and cancels it on a new connection may reach another entry. It got 410, and the later steps of the job went on to start.

Cause: only the entry that accepted a best-effort job knows of it, and an entry answered a cancel from its own jobs alone.

Fix: such an entry tells the agents that it knows, each agent reports the job to all its entries, and the one that has it cancels it. Repeated until reported, for 3 s at most; bounded in number, since callers may cancel what does not exist. Only a cancel of an unknown job causes these messages.

GET at another entry still answers 410.

--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -9,6 +9,23 @@
 using logging::Event;
 using logging::Level;
 
+namespace {
+
+    wire::AttemptReport cancelledJobReport(const std::string& job)
+    {
+        wire::AttemptReport report;
+        report.mutable_key()->set_job(job);
+        report.set_state(wire::ATTEMPT_JOB_CANCELLED);
+        return report;
+    }
+
+    bool isBroadcast(const wire::AttemptReport& report)
+    {
+        return report.state() == wire::ATTEMPT_CRASHED || report.state() == wire::ATTEMPT_JOB_CANCELLED;
+    }
+
+} // namespace
+
 std::vector<wire::EntryInfo> EntryLinks::onView(TimePoint now, const wire::View& view)
 {
     std::vector<wire::EntryInfo> found;
@@ -58,9 +75,36 @@
     link.firstReport += static_cast<uint64_t>(n);
     if (message.offer_interval_ms() > 0)
         link.offerInterval = std::chrono::milliseconds(message.offer_interval_ms());
+    for (const auto& it : message.cancelled_jobs())
+        reportCancelledJob(now, link, it);
     return true;
 }
 
+// The entry that has the job is not known, so each one is told. A repeated request shows that its sender has not received the
+// report, or has been told before it asked.
+void EntryLinks::reportCancelledJob(TimePoint now, Link& sender, const std::string& job)
+{
+    std::erase_if(m_cancelledJobs, [&](const auto& it) { return now - it.second > m_options.cancelledJobRetention; });
+    const bool known = m_cancelledJobs.contains(job);
+    if (!known && m_cancelledJobs.size() >= m_options.maxCancelledJobs)
+        return;
+    m_cancelledJobs.try_emplace(job, now);
+    const auto tell = [&](Link& link) {
+        const bool isQueued = std::any_of(link.reports.begin(), link.reports.end(),
+            [&](const auto& it) { return it.state() == wire::ATTEMPT_JOB_CANCELLED && it.key().job() == job; });
+        if (link.entry.empty() || isQueued)
+            return;
+        link.reports.push_back(cancelledJobReport(job));
+        link.sendNow = true;
+    };
+    if (known) {
+        tell(sender);
+        return;
+    }
+    for (auto& it : m_links)
+        tell(it.second);
+}
+
 EntryLinks::Link* EntryLinks::findLink(const std::string& entry)
 {
     const auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto& link) { return link.second.entry == entry; });
@@ -161,8 +205,7 @@
 {
     return std::all_of(m_links.begin(), m_links.end(), [](const auto& it) {
         const auto& reports = it.second.reports;
-        return std::all_of(
-            reports.begin(), reports.end(), [](const auto& report) { return report.state() == wire::ATTEMPT_CRASHED; });
+        return std::all_of(reports.begin(), reports.end(), isBroadcast);
     });
 }
 
--- a/fescuegw/arbiter/EntryLinks.h
+++ b/fescuegw/arbiter/EntryLinks.h
@@ -32,6 +32,10 @@
     // job.
     Duration broadcastRetention { std::chrono::seconds(30) };
     size_t maxBroadcasts = 256;
+    // A cancelled job is reported to all entries once in this time, and up to `maxCancelledJobs` of them. An entry repeats its
+    // request until the job has been reported to it.
+    Duration cancelledJobRetention { std::chrono::seconds(3) };
+    size_t maxCancelledJobs = 256;
     EntrySubsetOptions subset;
 };
 
@@ -51,7 +55,8 @@
     // Applies the list of entries. Returns the new ones of the subset, for the caller to connect to.
     std::vector<wire::EntryInfo> onView(TimePoint now, const wire::View&);
 
-    // Applies the acknowledgements and the offer interval of an entry. Returns false when no entry is known at `address`.
+    // Applies the acknowledgements and the offer interval of an entry, and reports the jobs that were cancelled there to all
+    // entries. Returns false when no entry is known at `address`.
     bool onMessage(TimePoint now, const std::string& address, const wire::EntryToUpstream&);
 
     // Queue a message for the process with the identity `entry`. Without a link to it the message is dropped: no caller waits
@@ -96,6 +101,7 @@
 
     Link* findLink(const std::string& entry);
     void addBroadcasts(TimePoint now, Link&);
+    void reportCancelledJob(TimePoint now, Link& sender, const std::string& job);
 
     std::string m_agent;
     EntryLinksOptions m_options;
@@ -103,6 +109,8 @@
     // Highest report number of removed links. New links use higher ones, since an entry may still know those of a former link.
     uint64_t m_discardedReports = 0;
     std::deque<std::pair<TimePoint, wire::AttemptReport>> m_broadcasts;
+    // When each cancelled job was reported.
+    std::map<std::string, TimePoint> m_cancelledJobs;
 };
 
 } // namespace fescuegw::arbiter
--- a/fescuegw/arbiter/EntryLinksTest.cpp
+++ b/fescuegw/arbiter/EntryLinksTest.cpp
@@ -1,4 +1,6 @@
 // Tests of the messages from an agent to entries, over links that lose messages.
+#include <array>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -239,3 +241,85 @@
     agent.advance(250);
     cr_assert_eq(agent.sent.back().reports_size(), 1);
 }
+
+namespace {
+
+// An agent with links to three entries.
+struct AgentOfThree {
+    AgentOfThree()
+    {
+        wire::View view;
+        for (const char* it : addresses)
+            view.add_entries()->set_address(it);
+        links.onView(now, view);
+        for (const char* it : addresses)
+            receive(it, {});
+        send();
+    }
+
+    void receive(const std::string& from, const std::vector<std::string>& cancelledJobs, uint64_t acknowledged = 0)
+    {
+        wire::EntryToUpstream message;
+        message.set_entry("e" + from);
+        message.set_acked_reports(acknowledged);
+        message.set_offer_interval_ms(250);
+        for (const auto& it : cancelledJobs)
+            message.add_cancelled_jobs(it);
+        cr_assert(links.onMessage(now, from, message));
+    }
+
+    // Sends what is due, and returns the number of cancelled jobs in the messages, by entry.
+    std::map<std::string, int> send()
+    {
+        std::map<std::string, int> cancelled;
+        links.send(
+            now, { "agent", 1 }, [] { return acceptingOffer(); },
+            [&](const std::string& to, const wire::UpstreamToEntry& message) {
+                for (const auto& it : message.reports())
+                    cancelled[to] += it.state() == wire::ATTEMPT_JOB_CANCELLED ? 1 : 0;
+            });
+        return cancelled;
+    }
+
+    static constexpr std::array<const char*, 3> addresses { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" };
+    TimePoint now { std::chrono::hours(1) };
+    EntryLinks links { "agent" };
+};
+
+} // namespace
+
+// A caller cancels its job at another entry than the one that has it. The entry that was asked repeats it until it has the
+// report.
+Test(EntryLinks, aCancelledJobIsReportedToAllEntriesOnce)
+{
+    AgentOfThree agent;
+    agent.receive("10.0.0.1:1", { "j" });
+    const std::map<std::string, int> all { { "10.0.0.1:1", 1 }, { "10.0.0.2:1", 1 }, { "10.0.0.3:1", 1 } };
+    cr_assert(agent.send() == all);
+    cr_assert(agent.links.allAcknowledged(), "a drain does not wait for it");
+    for (const char* it : AgentOfThree::addresses)
+        agent.receive(it, {}, 1);
+    // Another entry is asked to cancel the same job, and has forgotten the first report.
+    agent.receive("10.0.0.2:1", { "j" }, 1);
+    agent.receive("10.0.0.2:1", { "j" }, 1);
+    const std::map<std::string, int> asking { { "10.0.0.2:1", 1 } };
+    cr_assert(agent.send() == asking);
+}
+
+// Callers may cancel any number of jobs that do not exist.
+Test(EntryLinks, cancelledJobsAreBounded)
+{
+    constexpr size_t jobs = 10000;
+    AgentOfThree agent;
+    std::vector<std::string> names;
+    for (size_t i = 0; i < jobs; ++i)
+        names.push_back("j" + std::to_string(i));
+    agent.receive("10.0.0.1:1", names);
+    const auto most = static_cast<int>(EntryLinksOptions().maxCancelledJobs);
+    cr_assert_eq(agent.send()["10.0.0.2:1"], most);
+    agent.now += std::chrono::seconds(4);
+    for (const char* it : AgentOfThree::addresses)
+        agent.receive(it, {}, jobs);
+    agent.receive("10.0.0.1:1", { "later" }, jobs);
+    cr_assert_eq(agent.send()["10.0.0.2:1"], 1);
+}
--- a/fescuegw/direct/DirectServer.cpp
+++ b/fescuegw/direct/DirectServer.cpp
@@ -304,7 +304,7 @@
         const auto found = match(host, path, answer);
         if (!found)
             return;
-        const bool cancelled = m_jobs.cancel(now, found->remainder);
+        const bool cancelled = isValidName(found->remainder) && m_jobs.cancel(now, found->remainder);
         Event(Level::Info, "cancel").with("request", found->remainder).with("found", cancelled ? "yes" : "no");
         answer(makeAnswer(cancelled ? Answer::Kind::Cancelled : Answer::Kind::NoSuchJob));
     });
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -59,6 +59,10 @@
         onCrash(now, agent, report);
         return;
     }
+    if (report.state() == wire::ATTEMPT_JOB_CANCELLED) {
+        onJobCancelled(now, agent, report.key().job());
+        return;
+    }
     const auto it = m_jobs.find(report.key().job());
     const uint32_t step = report.key().step();
     const uint32_t index = report.key().index();
@@ -182,6 +186,17 @@
     }
 }
 
+// Not passed on: the entry at which the job was cancelled tells the agents.
+void JobTable::onJobCancelled(TimePoint now, const AgentId& agent, const std::string& id)
+{
+    if (const auto relay = m_cancelRelays.find(id); relay != m_cancelRelays.end())
+        relay->second.confirmed.insert(agent);
+    if (!cancelInFlight(now, id))
+        return;
+    ++m_counters.cancelledElsewhere;
+    Event(Level::Info, "cancelled_elsewhere").with("request", id).with("agent", toString(agent));
+}
+
 // Returns why a task is not started again, or an empty string if it may be.
 std::string JobTable::crashReason(TimePoint now, const Job& job, size_t step, size_t index) const
 {
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -272,6 +272,15 @@
 }
 
 bool JobTable::cancel(TimePoint now, const std::string& id)
+{
+    if (cancelInFlight(now, id))
+        return true;
+    if (!m_jobs.contains(id))
+        relayCancel(now, id);
+    return false;
+}
+
+bool JobTable::cancelInFlight(TimePoint now, const std::string& id)
 {
     const auto it = m_jobs.find(id);
     if (it == m_jobs.end() || it->second.answered)
@@ -281,6 +290,17 @@
     return true;
 }
 
+// A caller's next connection may reach another entry than the one on which it waits. Entries have no links to each other, but
+// agents have links to both.
+void JobTable::relayCancel(TimePoint now, const std::string& id)
+{
+    if (m_cancelRelays.size() >= m_options.maxCancelRelays && !m_cancelRelays.contains(id))
+        return;
+    m_cancelRelays[id] = { now + m_options.cancelRelayPeriod, {} };
+    for (const auto& it : m_offers.agents())
+        outbox(it.first);
+}
+
 void JobTable::abandon(TimePoint now, uint64_t exchange) { abandon(now, std::set<uint64_t> { exchange }); }
 
 void JobTable::abandon(TimePoint now, const std::set<uint64_t>& exchanges)
@@ -359,6 +379,7 @@
     m_messageCheckDue = now + m_options.messageCheckInterval;
     m_offerPace.update(now);
     addDueStops(now);
+    addDueCancelRelays(now);
     for (const auto& it : m_offers.agents()) {
         const AgentView& view = it.second;
         if ((view.replyDue || view.sentOfferInterval != offerIntervalMs(view))
@@ -391,6 +412,17 @@
     }
 }
 
+void JobTable::addDueCancelRelays(TimePoint now)
+{
+    std::erase_if(m_cancelRelays, [now](const auto& it) { return now >= it.second.until; });
+    for (const auto& it : m_offers.agents()) {
+        const bool due = now - it.second.lastSent >= m_options.stopRepeatInterval;
+        const auto unconfirmed = [&](const auto& relay) { return !relay.second.confirmed.contains(it.first); };
+        if (due && std::any_of(m_cancelRelays.begin(), m_cancelRelays.end(), unconfirmed))
+            outbox(it.first);
+    }
+}
+
 void JobTable::transmit(TimePoint now, const AgentId& id, wire::EntryToUpstream message)
 {
     AgentView* view = m_offers.find(id);
@@ -401,6 +433,9 @@
     if (const auto stops = m_unconfirmedStops.find(id); stops != m_unconfirmedStops.end())
         for (const auto& it : stops->second)
             *message.add_stops() = wire::toWire(it.task, it.number);
+    for (const auto& it : m_cancelRelays)
+        if (!it.second.confirmed.contains(id))
+            message.add_cancelled_jobs(it.first);
     message.set_seen_clock_us(view->seenClockUs);
     message.set_acked_reports(view->ackedReports);
     view->sentOfferInterval = offerIntervalMs(*view);
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -62,6 +62,10 @@
     CrashHistoryOptions crashes;
     // Limit on the jobs in the table: bounds memory while no job makes progress.
     size_t maxJobs = 20000;
+    // The cancellation of a job that is not in flight here is sent to agents for this long, until they have reported it. Bounded
+    // in number, since callers may cancel jobs that do not exist.
+    Duration cancelRelayPeriod { std::chrono::seconds(3) };
+    size_t maxCancelRelays = 64;
 };
 
 struct JobTableHooks {
@@ -91,6 +95,8 @@
     uint64_t declinedGrants = 0;
     // Messages that repeated stops, since the end of the attempts was not known yet.
     uint64_t repeatedStops = 0;
+    // Jobs that were cancelled at another entry.
+    uint64_t cancelledElsewhere = 0;
 };
 
 // Runs each task at most once at a time: the next attempt starts only once the previous one is certain not to be running. All
@@ -105,7 +111,8 @@
     void submit(TimePoint now, JobRequest, JobResponder);
     // Accepts only jobs whose objective ends before `until`, and ends the jobs that are still in flight then.
     void drain(TimePoint until) { m_drainUntil = until; }
-    // Ends a job and answers its callers. Returns false when no such job is in flight here.
+    // Ends a job and answers its callers. Returns false when no such job is in flight here; agents then pass the cancellation on
+    // to the entry that may have it.
     bool cancel(TimePoint now, const std::string& id);
     // Handles the disconnection of the caller with this exchange.
     void abandon(TimePoint now, uint64_t exchange);
@@ -193,6 +200,13 @@
         uint32_t outstanding = 0;
     };
 
+    // The cancellation of a job that is not in flight here.
+    struct CancelRelay {
+        TimePoint until;
+        // Agents that have reported it.
+        std::set<AgentId> confirmed;
+    };
+
     using Jobs = std::map<std::string, Job>;
 
     void checkCallers(TimePoint now);
@@ -230,6 +244,10 @@
     void release(Task&);
     void confirmStop(const AgentId&, const wire::AttemptKey&);
     void addDueStops(TimePoint now);
+    bool cancelInFlight(TimePoint now, const std::string& id);
+    void relayCancel(TimePoint now, const std::string& id);
+    void onJobCancelled(TimePoint now, const AgentId&, const std::string& id);
+    void addDueCancelRelays(TimePoint now);
     void onAgentLost(TimePoint now, const AgentId&, const std::string& reason);
     uint32_t offerIntervalMs(const AgentView&) const;
     wire::EntryToUpstream& outbox(const AgentId&);
@@ -270,6 +288,8 @@
     // Attempts that were to be stopped and are not known to have ended. Every message to their agent carries their stops, so
     // that none renews the agent's lease for this entry without them.
     std::map<AgentId, std::set<Attempt>> m_unconfirmedStops;
+    // By job.
+    std::map<std::string, CancelRelay> m_cancelRelays;
     JobCounters m_counters;
 };
 
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -25,6 +25,8 @@
                      stops.emplace_back(agent, it);
                  for (const uint64_t it : message.declined_grants())
                      declined.push_back(it);
+                 for (const auto& it : message.cancelled_jobs())
+                     cancelledJobs.emplace_back(agent, it);
                  demand[agent] = message.demand();
                  ++messages;
                  offerInterval[agent] = message.offer_interval_ms();
@@ -75,6 +77,13 @@
         table.flush(now);
     }
 
+    void reportCancelledJob(const AgentId& agent, const std::string& job)
+    {
+        wire::StartTask noTask;
+        noTask.mutable_key()->set_job(job);
+        report(agent, noTask, wire::ATTEMPT_JOB_CANCELLED, "", 64000);
+    }
+
     // The upstream's process crashes under an attempt, which is then lost.
     void crash(const AgentId& agent, const wire::StartTask& start, uint64_t process)
     {
@@ -133,6 +142,7 @@
     std::vector<std::pair<AgentId, wire::StartTask>> starts;
     std::vector<std::pair<AgentId, wire::AttemptKey>> stops;
     std::vector<uint64_t> declined;
+    std::vector<std::pair<AgentId, std::string>> cancelledJobs;
     std::map<AgentId, wire::Demand> demand;
     std::map<AgentId, uint32_t> offerInterval;
     std::map<AgentId, uint64_t> reports;
@@ -407,6 +417,73 @@
     cr_assert_eq(entry.stops.size(), 2);
 }
 
+// Guards against a job that goes on after its cancellation: a caller's next connection may reach another entry than the one on
+// which it waits.
+Test(JobTable, aCancellationAtAnotherEntryEndsTheJob)
+{
+    Entry other;
+    other.offer(a1, 64000);
+    cr_assert_not(other.table.cancel(other.now, "j"));
+    other.table.flush(other.now);
+    cr_assert_eq(other.cancelledJobs.size(), 1);
+
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submitSteps("j", { Entry::step(2), Entry::step(1, { 0 }) });
+    entry.report(a1, entry.starts[0].second, wire::ATTEMPT_STARTED);
+    entry.reportCancelledJob(a1, other.cancelledJobs[0].second);
+    cr_assert(entry.kind("j") == JobOutcome::Kind::Abandoned);
+    cr_assert_eq(entry.stops.size(), 2);
+    cr_assert_eq(entry.table.counters().cancelledElsewhere, 1);
+    cr_assert(entry.cancelledJobs.empty(), "only the entry that was asked to cancel tells the agents");
+}
+
+// Messages are lost, and an entry that has just started knows no agents yet.
+Test(JobTable, aCancellationIsRepeatedToEachAgentUntilItIsReported)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    cr_assert_not(entry.table.cancel(entry.now, "j"));
+    entry.advance(10);
+    cr_assert_eq(entry.cancelledJobs.size(), 1);
+    entry.offer(a2, 64000);
+    entry.advance(10);
+    cr_assert_eq(entry.cancelledJobs.size(), 2);
+    cr_assert(entry.cancelledJobs[1].first == a2);
+    entry.reportCancelledJob(a1, "j");
+    entry.advance(110);
+    cr_assert_eq(entry.cancelledJobs.size(), 3);
+    cr_assert(entry.cancelledJobs[2].first == a2);
+    entry.advance(3000);
+    entry.offer(a2, 64000);
+    entry.advance(110);
+    cr_assert_eq(entry.cancelledJobs.size(), 3, "no caller waits for it any more");
+}
+
+// Callers may cancel any number of jobs that do not exist.
+Test(JobTable, cancellationsThatArePassedOnAreBounded)
+{
+    constexpr size_t cancellations = 10000;
+    Entry entry;
+    entry.offer(a1, 64000);
+    for (size_t i = 0; i < cancellations; ++i)
+        cr_assert_not(entry.table.cancel(entry.now, "j" + std::to_string(i)));
+    entry.table.flush(entry.now);
+    cr_assert_eq(entry.cancelledJobs.size(), JobTableOptions().maxCancelRelays);
+}
+
+// A caller cancels a job that has just been cancelled, while its attempts are being stopped.
+Test(JobTable, aCancelledJobIsNotPassedOn)
+{
+    Entry entry;
+    entry.offer(a1, 64000);
+    entry.submit("j", 1);
+    cr_assert(entry.table.cancel(entry.now, "j"));
+    cr_assert_not(entry.table.cancel(entry.now, "j"));
+    entry.table.flush(entry.now);
+    cr_assert(entry.cancelledJobs.empty());
+}
+
 // The link to an agent breaks as a job is given up. A lost stop must not leave its run going while the entry renews the agent's
 // lease for it: the caller sends the job again, and its task would run twice.
 Test(JobTable, stopsAreRepeatedUntilTheEndOfTheAttemptIsKnown)
