--- a/fescuegw/group/StateClient.h
+++ b/fescuegw/group/StateClient.h
@@ -48,8 +48,8 @@
 public:
     using ReplyHook = std::function<void(TimePoint, const wire::StateReply&)>;
 
-    // `replicas` are addresses, which also identify the replicas in `send`, `onReply` and `onUndeliverable`. Without any, nothing is
-    // sent until `addReplicas` names one.
+    // `replicas` are addresses, which also identify the replicas in `send`, `onReply` and `onUndeliverable`. Without any, nothing
+    // is sent until `addReplicas` names one.
     StateClient(StateClientOptions, std::vector<std::string> replicas, StateClientHooks);
 
     // Queues a command to commit. `flush` sends the queued commands together in as few requests as possible.
