--- a/fescuegw/arbiter/EntryLinks.cpp
+++ b/fescuegw/arbiter/EntryLinks.cpp
@@ -89,7 +89,7 @@
     if (!known && m_cancelledJobs.size() >= m_options.maxCancelledJobs)
         return;
     m_cancelledJobs.try_emplace(job, now);
-    const auto tell = [&](Link& link) {
+    const auto addReport = [&](Link& link) {
         const bool isQueued = std::any_of(link.reports.begin(), link.reports.end(),
             [&](const auto& it) { return it.state() == wire::ATTEMPT_JOB_CANCELLED && it.key().job() == job; });
         if (link.entry.empty() || isQueued)
@@ -98,11 +98,11 @@
         link.sendNow = true;
     };
     if (known) {
-        tell(sender);
+        addReport(sender);
         return;
     }
     for (auto& it : m_links)
-        tell(it.second);
+        addReport(it.second);
 }
 
 EntryLinks::Link* EntryLinks::findLink(const std::string& entry)
--- a/fescuegw/direct/JobReports.cpp
+++ b/fescuegw/direct/JobReports.cpp
@@ -189,8 +189,8 @@
 // Not passed on: the entry at which the job was cancelled tells the agents.
 void JobTable::onJobCancelled(TimePoint now, const AgentId& agent, const std::string& id)
 {
-    if (const auto relay = m_cancelRelays.find(id); relay != m_cancelRelays.end())
-        relay->second.confirmed.insert(agent);
+    if (const auto cancel = m_forwardedCancels.find(id); cancel != m_forwardedCancels.end())
+        cancel->second.confirmed.insert(agent);
     if (!cancelInFlight(now, id))
         return;
     ++m_counters.cancelledElsewhere;
--- a/fescuegw/direct/JobTable.cpp
+++ b/fescuegw/direct/JobTable.cpp
@@ -276,7 +276,7 @@
     if (cancelInFlight(now, id))
         return true;
     if (!m_jobs.contains(id))
-        relayCancel(now, id);
+        forwardCancel(now, id);
     return false;
 }
 
@@ -292,11 +292,11 @@
 
 // A caller's next connection may reach another entry than the one on which it waits. Entries have no links to each other, but
 // agents have links to both.
-void JobTable::relayCancel(TimePoint now, const std::string& id)
+void JobTable::forwardCancel(TimePoint now, const std::string& id)
 {
-    if (m_cancelRelays.size() >= m_options.maxCancelRelays && !m_cancelRelays.contains(id))
+    if (m_forwardedCancels.size() >= m_options.maxForwardedCancels && !m_forwardedCancels.contains(id))
         return;
-    m_cancelRelays[id] = { now + m_options.cancelRelayPeriod, {} };
+    m_forwardedCancels[id] = { now + m_options.forwardedCancelPeriod, {} };
     for (const auto& it : m_offers.agents())
         outbox(it.first);
 }
@@ -379,7 +379,7 @@
     m_messageCheckDue = now + m_options.messageCheckInterval;
     m_offerPace.update(now);
     addDueStops(now);
-    addDueCancelRelays(now);
+    addDueForwardedCancels(now);
     for (const auto& it : m_offers.agents()) {
         const AgentView& view = it.second;
         if ((view.replyDue || view.sentOfferInterval != offerIntervalMs(view))
@@ -412,13 +412,15 @@
     }
 }
 
-void JobTable::addDueCancelRelays(TimePoint now)
+void JobTable::addDueForwardedCancels(TimePoint now)
 {
-    std::erase_if(m_cancelRelays, [now](const auto& it) { return now >= it.second.until; });
+    std::erase_if(m_forwardedCancels, [now](const auto& it) { return now >= it.second.until; });
+    if (m_forwardedCancels.empty())
+        return;
     for (const auto& it : m_offers.agents()) {
         const bool due = now - it.second.lastSent >= m_options.stopRepeatInterval;
-        const auto unconfirmed = [&](const auto& relay) { return !relay.second.confirmed.contains(it.first); };
-        if (due && std::any_of(m_cancelRelays.begin(), m_cancelRelays.end(), unconfirmed))
+        const auto unconfirmed = [&](const auto& cancel) { return !cancel.second.confirmed.contains(it.first); };
+        if (due && std::any_of(m_forwardedCancels.begin(), m_forwardedCancels.end(), unconfirmed))
             outbox(it.first);
     }
 }
@@ -433,7 +435,7 @@
     if (const auto stops = m_unconfirmedStops.find(id); stops != m_unconfirmedStops.end())
         for (const auto& it : stops->second)
             *message.add_stops() = wire::toWire(it.task, it.number);
-    for (const auto& it : m_cancelRelays)
+    for (const auto& it : m_forwardedCancels)
         if (!it.second.confirmed.contains(id))
             message.add_cancelled_jobs(it.first);
     message.set_seen_clock_us(view->seenClockUs);
--- a/fescuegw/direct/JobTable.h
+++ b/fescuegw/direct/JobTable.h
@@ -41,7 +41,7 @@
     // Time between two checks of jobs and agents for expired time limits.
     Duration tickInterval { std::chrono::milliseconds(10) };
     DemandNotifierOptions demand;
-    // Interval after which a stop is sent again to an agent that has been sent nothing else.
+    // Interval after which a stop or a forwarded cancel is sent again to an agent that has been sent nothing else.
     Duration stopRepeatInterval { std::chrono::milliseconds(100) };
     // Time between two checks of agents for messages that are due by time alone.
     Duration messageCheckInterval { std::chrono::milliseconds(10) };
@@ -64,8 +64,8 @@
     size_t maxJobs = 20000;
     // The cancellation of a job that is not in flight here is sent to agents for this long, until they have reported it. Bounded
     // in number, since callers may cancel jobs that do not exist.
-    Duration cancelRelayPeriod { std::chrono::seconds(3) };
-    size_t maxCancelRelays = 64;
+    Duration forwardedCancelPeriod { std::chrono::seconds(3) };
+    size_t maxForwardedCancels = 64;
 };
 
 struct JobTableHooks {
@@ -166,7 +166,7 @@
     struct Step {
         std::vector<Task> tasks;
         size_t done = 0;
-        // All tasks are done, and all steps before it are complete, which a step without tasks is not known by itself.
+        // Its tasks are done, and the steps before it are complete. A step without tasks depends on the latter alone.
         bool complete = false;
         std::map<AgentId, uint32_t> tasksPerAgent;
     };
@@ -201,7 +201,7 @@
     };
 
     // The cancellation of a job that is not in flight here.
-    struct CancelRelay {
+    struct ForwardedCancel {
         TimePoint until;
         // Agents that have reported it.
         std::set<AgentId> confirmed;
@@ -245,9 +245,9 @@
     void confirmStop(const AgentId&, const wire::AttemptKey&);
     void addDueStops(TimePoint now);
     bool cancelInFlight(TimePoint now, const std::string& id);
-    void relayCancel(TimePoint now, const std::string& id);
+    void forwardCancel(TimePoint now, const std::string& id);
     void onJobCancelled(TimePoint now, const AgentId&, const std::string& id);
-    void addDueCancelRelays(TimePoint now);
+    void addDueForwardedCancels(TimePoint now);
     void onAgentLost(TimePoint now, const AgentId&, const std::string& reason);
     uint32_t offerIntervalMs(const AgentView&) const;
     wire::EntryToUpstream& outbox(const AgentId&);
@@ -289,7 +289,7 @@
     // that none renews the agent's lease for this entry without them.
     std::map<AgentId, std::set<Attempt>> m_unconfirmedStops;
     // By job.
-    std::map<std::string, CancelRelay> m_cancelRelays;
+    std::map<std::string, ForwardedCancel> m_forwardedCancels;
     JobCounters m_counters;
 };
 
--- a/fescuegw/direct/JobTableTest.cpp
+++ b/fescuegw/direct/JobTableTest.cpp
@@ -461,7 +461,7 @@
 }
 
 // Callers may cancel any number of jobs that do not exist.
-Test(JobTable, cancellationsThatArePassedOnAreBounded)
+Test(JobTable, forwardedCancelsAreBounded)
 {
     constexpr size_t cancellations = 10000;
     Entry entry;
@@ -469,11 +469,11 @@
     for (size_t i = 0; i < cancellations; ++i)
         cr_assert_not(entry.table.cancel(entry.now, "j" + std::to_string(i)));
     entry.table.flush(entry.now);
-    cr_assert_eq(entry.cancelledJobs.size(), JobTableOptions().maxCancelRelays);
+    cr_assert_eq(entry.cancelledJobs.size(), JobTableOptions().maxForwardedCancels);
 }
 
 // A caller cancels a job that has just been cancelled, while its attempts are being stopped.
-Test(JobTable, aCancelledJobIsNotPassedOn)
+Test(JobTable, theCancelOfACancelledJobIsNotForwarded)
 {
     Entry entry;
     entry.offer(a1, 64000);
